--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install check test example
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+check: install
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/flake8 src
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+test: install
+	$(BIN)/python -m tests.run
+
+example: install
+	$(BIN)/python -m bench.example
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Hold stand-ins, load tools and measurements."""
--- /dev/null
+++ b/src/jasmineramp/effects.py
@@ -0,0 +1,44 @@
+"""Define the effects that the reducer returns as data."""
+
+import enum
+from typing import Any
+
+import msgspec
+
+from jasmineramp.ids import NodeId
+from jasmineramp.messages import Message
+
+
+class Effect(msgspec.Struct, frozen=True):
+    """Base of everything that the actor performs for the reducer."""
+
+
+class SendMessage(Effect, frozen=True):
+    """Send a message to another node; it may be lost."""
+
+    node: NodeId
+    message: Message
+
+
+class EventKind(enum.Enum):
+    """Name the kinds of events on the time line."""
+
+    call_refused = 'call_refused'
+    call_finished = 'call_finished'
+    retry_decided = 'retry_decided'
+    loan_changed = 'loan_changed'
+    slot_changed = 'slot_changed'
+    configuration_in_force = 'configuration_in_force'
+    member_changed = 'member_changed'
+    upstream_changed = 'upstream_changed'
+    store_changed = 'store_changed'
+    claim_changed = 'claim_changed'
+    node_started = 'node_started'
+    node_stopping = 'node_stopping'
+
+
+class RecordEvent(Effect, frozen=True):
+    """Record an event on the time line of the node."""
+
+    kind: EventKind
+    fields: dict[str, Any]
--- /dev/null
+++ b/src/jasmineramp/messages.py
@@ -0,0 +1,7 @@
+"""Define the base of the messages between nodes."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of every message that one node sends to another."""
--- /dev/null
+++ b/src/jasmineramp/table.py
@@ -0,0 +1,273 @@
+"""Define the operators' table and check it as a whole."""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from jasmineramp.exceptions import TableError
+from jasmineramp.ids import (
+    BucketId,
+    Importance,
+    KeyDigest,
+    RowName,
+    ServiceName,
+    WorkspaceId,
+)
+
+LEAST_IMPORTANCE = Importance(1)
+MOST_IMPORTANCE = Importance(5)
+MINIMUM_BURST = 1
+DIGEST_LENGTH = 64
+
+
+class CallRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one kind of call; rates are calls a second, times in ms."""
+
+    name: RowName
+    service: ServiceName
+    path: str
+    method: str = '*'
+    importance: int = 3
+    weight: float = 1
+    rate: float | None = None
+    burst: float | None = None
+    timeout_ms: float = 2000
+    retries: int = 2
+    idempotent: bool = True
+    open: bool = False
+
+
+class WorkspaceRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one workspace; rates are calls a second, times in ms."""
+
+    name: WorkspaceId
+    rate: float
+    burst: float
+    weight: float = 1
+    offline_grace_ms: float | None = None
+
+
+class KeyRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Grant the key with this SHA-256 digest (hex) to a workspace."""
+
+    digest: KeyDigest
+    workspace: WorkspaceId
+
+
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold every row that operators edit."""
+
+    calls: tuple[CallRow, ...] = ()
+    workspaces: tuple[WorkspaceRow, ...] = ()
+    keys: tuple[KeyRow, ...] = ()
+    rate_slots: int = 1
+
+    def workspace(self, name: WorkspaceId) -> WorkspaceRow | None:
+        """Return the row of a workspace."""
+        for row in self.workspaces:
+            if row.name == name:
+                return row
+        return None
+
+    def call(self, name: RowName) -> CallRow | None:
+        """Return a call row by name."""
+        for row in self.calls:
+            if row.name == name:
+                return row
+        return None
+
+
+def workspace_bucket(workspace: WorkspaceId) -> BucketId:
+    """Return the rate bucket of a workspace."""
+    return BucketId(f'workspace:{workspace}')
+
+
+def call_bucket(row: RowName) -> BucketId:
+    """Return the rate bucket of a call row."""
+    return BucketId(f'call:{row}')
+
+
+def find_call(table: Table, method: str, path: str) -> CallRow | None:
+    """Return the row with the longest matching path, exact methods first."""
+    matches = [
+        row
+        for row in table.calls
+        if row.method in {'*', method} and _matches_path(row.path, path)
+    ]
+    if not matches:
+        return None
+    return max(matches, key=lambda row: (len(row.path), row.method != '*'))
+
+
+def check_table(table: Table) -> None:
+    """Raise TableError for the first cell that can't be used."""
+    _check_unique('calls', [row.name for row in table.calls])
+    _check_unique('workspaces', [row.name for row in table.workspaces])
+    _check_unique('keys', [row.digest for row in table.keys])
+    _check_unique(
+        'calls',
+        [f'{row.method} {row.path}' for row in table.calls],
+        'path',
+    )
+    for call in table.calls:
+        _check_call(call)
+    for workspace in table.workspaces:
+        _check_workspace(workspace)
+    names = {row.name for row in table.workspaces}
+    for key in table.keys:
+        _check_key(key, names)
+    if table.rate_slots < 1:
+        raise TableError(
+            'table',
+            'rate_slots',
+            table.rate_slots,
+            'is under 1',
+            'set it to the number of nodes in the fleet',
+        )
+
+
+def _matches_path(prefix: str, path: str) -> bool:
+    if prefix in {path, '/'}:
+        return True
+    return path.startswith(f'{prefix.rstrip("/")}/')
+
+
+def _check_unique(
+    section: str,
+    names: Iterable[str],
+    column: str = 'name',
+) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise TableError(
+                section,
+                column,
+                name,
+                'stands in two rows',
+                'delete or rename one of them',
+            )
+        seen.add(name)
+
+
+def _check_call(row: CallRow) -> None:
+    place = f'calls/{row.name}'
+    _check_name(place, row.name)
+    _check_name(place, row.service, 'service')
+    if not row.path.startswith('/'):
+        raise TableError(
+            place,
+            'path',
+            row.path,
+            'does not start with /',
+            'write the path prefix, for example /orders',
+        )
+    if not LEAST_IMPORTANCE <= row.importance <= MOST_IMPORTANCE:
+        raise TableError(
+            place,
+            'importance',
+            row.importance,
+            'is outside 1 to 5',
+            'use 1 for the least and 5 for the most important calls',
+        )
+    _check_positive(place, 'weight', row.weight)
+    _check_positive(place, 'timeout_ms', row.timeout_ms)
+    if row.retries < 0:
+        raise TableError(
+            place,
+            'retries',
+            row.retries,
+            'is negative',
+            'use 0 for no retries',
+        )
+    if (row.rate is None) != (row.burst is None):
+        raise TableError(
+            place,
+            'burst',
+            row.burst,
+            'rate and burst stand together',
+            'set both or neither',
+        )
+    if row.rate is not None and row.burst is not None:
+        _check_rate(place, row.rate, row.burst)
+
+
+def _check_workspace(row: WorkspaceRow) -> None:
+    place = f'workspaces/{row.name}'
+    _check_name(place, row.name)
+    _check_rate(place, row.rate, row.burst)
+    _check_positive(place, 'weight', row.weight)
+    if row.offline_grace_ms is not None and row.offline_grace_ms < 0:
+        raise TableError(
+            place,
+            'offline_grace_ms',
+            row.offline_grace_ms,
+            'is negative',
+            'use 0 to refuse at once or leave it empty to serve',
+        )
+
+
+def _check_key(row: KeyRow, workspaces: set[WorkspaceId]) -> None:
+    place = f'keys/{row.digest[:8]}'
+    if len(row.digest) != DIGEST_LENGTH or not _is_hex(row.digest):
+        raise TableError(
+            place,
+            'digest',
+            row.digest[:8],
+            'is not a SHA-256 digest in hex',
+            'grant keys with jasmineramp-table grant',
+        )
+    if row.workspace not in workspaces:
+        raise TableError(
+            place,
+            'workspace',
+            row.workspace,
+            'has no row',
+            'add the workspace first',
+        )
+
+
+def _check_name(place: str, name: str, column: str = 'name') -> None:
+    if not name or any(sign.isspace() or sign == ',' for sign in name):
+        raise TableError(
+            place,
+            column,
+            name,
+            'is empty or holds a space or comma',
+            'use letters, digits, dot, dash and underscore',
+        )
+
+
+def _check_rate(place: str, rate: float, burst: float) -> None:
+    if not math.isfinite(rate) or rate < 0:
+        raise TableError(
+            place,
+            'rate',
+            rate,
+            'is negative or not a number',
+            'use calls a second, 0 to refuse all',
+        )
+    if not math.isfinite(burst) or burst < MINIMUM_BURST:
+        raise TableError(
+            place,
+            'burst',
+            burst,
+            'is under 1',
+            'use the number of calls that may come at once',
+        )
+
+
+def _check_positive(place: str, column: str, figure: float) -> None:
+    if not math.isfinite(figure) or figure <= 0:
+        raise TableError(
+            place,
+            column,
+            figure,
+            'is not above 0',
+            'use a positive number',
+        )
+
+
+def _is_hex(text: str) -> bool:
+    return all(sign in '0123456789abcdef' for sign in text)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tests."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small fakes of the outside systems."""
