Run the checks of a linked work tree on its own sources

Cause: an editable install points at the main work tree, so checks run in a linked work tree would have read other sources. PYTHONPATH now goes first. Checks: make check test passes in both.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
+# A linked work tree runs its own sources with the shared environment.
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
 .PHONY: install check test example
 
 install: $(VENV)/.installed
