--- /dev/null
+++ b/src/jasmineramp/limits.py
@@ -0,0 +1,191 @@
+"""Adapt the concurrency limit of one upstream instance to its latency."""
+
+import enum
+import math
+
+import msgspec
+
+from jasmineramp.clock import ORIGIN, Millis
+from jasmineramp.ids import RowName
+
+# A window needs enough samples for a mean and enough time for an effect.
+WINDOW = 100
+WINDOW_SAMPLES = 10
+# Time constants with which the long-term latency follows the short-term one.
+LONG_TERM_RISE = 30_000
+LONG_TERM_FALL = 3000
+# The mean of a window with ten samples varies by a third without overload.
+TOLERANCE = 1.5
+LEAST_GRADIENT = 0.5
+SMOOTHING = 0.5
+# A smaller limit yields too few samples to notice that latency recovered.
+FLOOR_SHARE = 0.1
+BUSY_SHARE = 0.9
+INITIAL_SERVICE_TIME = 10
+SERVICE_TIME_GAIN = 0.05
+# Without decay, an estimate above every deadline would refuse all calls and
+# would never see a sample again.
+ESTIMATE_HALF_LIFE = 1000
+
+
+class CallOutcome(enum.Enum):
+    """Tell how a started call ended at its upstream."""
+
+    succeeded = 'succeeded'
+    failed = 'failed'
+    timed_out = 'timed_out'
+    shed = 'shed'
+    cancelled = 'cancelled'
+
+
+_OVERLOAD = frozenset((CallOutcome.timed_out, CallOutcome.shed))
+_MEASURED = frozenset(
+    (CallOutcome.succeeded, CallOutcome.timed_out),
+)
+
+
+class LatencySample(msgspec.Struct, frozen=True, gc=False):
+    """Report one ended call; the latency is in milliseconds."""
+
+    latency: float
+    outcome: CallOutcome = CallOutcome.succeeded
+    row: RowName = RowName('')
+
+
+class _RowLatency(msgspec.Struct):
+    """Hold the latencies of one row in milliseconds."""
+
+    long_term: float
+    total: float = 0
+    count: int = 0
+
+
+class Limiter:
+    """Bound the number of running calls of one instance.
+
+    The limit stays between a tenth of the ceiling (at least 1) and the
+    ceiling, which is the smaller of the announced slots and connections.
+    """
+
+    def __init__(self, slots: int, connections: int | None = None) -> None:
+        self.rows: dict[RowName, _RowLatency] = {}
+        self.running = 0
+        self.peak = 0
+        self.window_start = ORIGIN
+        self.samples = 0
+        self.overloads = 0
+        self.ceiling = 1
+        self.limit: float = 1
+        self.resize(slots, connections)
+        self.limit = self.ceiling
+
+    def resize(self, slots: int, connections: int | None = None) -> None:
+        """Adopt newly announced slots and connections."""
+        at_ceiling = self.limit >= self.ceiling
+        bounds = slots if connections is None else min(slots, connections)
+        self.ceiling = max(1, bounds)
+        if at_ceiling:
+            self.limit = self.ceiling
+        self._set_limit(self.limit)
+
+    def started(self, now: Millis) -> None:
+        """Count a call that starts at the upstream."""
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+
+    def finished(self, sample: LatencySample, now: Millis) -> None:
+        """Take the sample of a call that ended and adapt the limit."""
+        self.running -= 1
+        if sample.outcome in _OVERLOAD:
+            self.overloads += 1
+            self.samples += 1
+        if sample.outcome in _MEASURED:
+            self._measure(sample)
+        elapsed = now - self.window_start
+        if self.samples >= WINDOW_SAMPLES and elapsed >= WINDOW:
+            self._close_window(now)
+
+    def _measure(self, sample: LatencySample) -> None:
+        row = self.rows.get(sample.row)
+        if row is None:
+            row = _RowLatency(sample.latency)
+            self.rows[sample.row] = row
+        row.total += sample.latency
+        row.count += 1
+        self.samples += 1
+
+    def _close_window(self, now: Millis) -> None:
+        overload_share = self.overloads / self.samples
+        gradient = self._gradient()
+        if overload_share > 0:
+            self._set_limit(self.limit * (1 - overload_share / 2))
+        elif gradient < 1:
+            step = 1 - SMOOTHING * (1 - gradient)
+            self._set_limit(self.limit * step)
+        elif self.peak >= self.limit * BUSY_SHARE:
+            self._set_limit(self.limit + math.sqrt(self.limit) / 2)
+        self._update_long_term(now - self.window_start)
+        self.window_start = now
+        self.samples = 0
+        self.overloads = 0
+        self.peak = self.running
+
+    def _gradient(self) -> float:
+        measured = math.fsum(row.total for row in self.rows.values())
+        usual = math.fsum(
+            row.long_term * row.count for row in self.rows.values()
+        )
+        if measured <= 0:
+            return 1
+        return min(1, max(LEAST_GRADIENT, TOLERANCE * usual / measured))
+
+    def _update_long_term(self, elapsed: float) -> None:
+        for row in self.rows.values():
+            if not row.count:
+                continue
+            gap = row.total / row.count - row.long_term
+            constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
+            row.long_term += gap * min(1, elapsed / constant)
+            row.total = 0
+            row.count = 0
+
+    def _set_limit(self, limit: float) -> None:
+        floor = max(1, self.ceiling * FLOOR_SHARE)
+        self.limit = min(self.ceiling, max(floor, limit))
+
+
+class _Estimate(msgspec.Struct, gc=False):
+    """Hold a mean in milliseconds and the time of its last sample."""
+
+    mean: float
+    updated: Millis
+
+
+class ServiceTimes:
+    """Estimate the service time of calls by row, in milliseconds."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowName, _Estimate] = {}
+        self.overall = _Estimate(INITIAL_SERVICE_TIME, ORIGIN)
+
+    def expected(self, row: RowName, now: Millis) -> float:
+        """Return the estimate, which decays while no samples arrive."""
+        estimate = self.rows.get(row) or self.overall
+        age = now - estimate.updated
+        if age <= ESTIMATE_HALF_LIFE:
+            return estimate.mean
+        return float(estimate.mean * 0.5 ** (age / ESTIMATE_HALF_LIFE - 1))
+
+    def record(self, row: RowName, latency: float, now: Millis) -> None:
+        """Take the latency of a finished call."""
+        estimate = self.rows.get(row)
+        if estimate is None:
+            self.rows[row] = _Estimate(latency, now)
+        else:
+            _update(estimate, latency, now)
+        _update(self.overall, latency, now)
+
+
+def _update(estimate: _Estimate, latency: float, now: Millis) -> None:
+    estimate.mean += SERVICE_TIME_GAIN * (latency - estimate.mean)
+    estimate.updated = now
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,111 @@
+"""Test the adaptive concurrency limit."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jasmineramp.clock import Millis
+from jasmineramp.ids import RowName
+from jasmineramp.limits import (
+    CallOutcome,
+    LatencySample,
+    Limiter,
+    ServiceTimes,
+)
+
+
+def drive(limiter, latency, duration, start=0.0, outcome=None) -> float:
+    """Keep the limiter busy; latency is a function of running calls."""
+    now = start
+    while now < start + duration:
+        running = int(limiter.limit)
+        while limiter.running < running:
+            limiter.started(Millis(now))
+        measured = latency(running)
+        now += measured
+        sample = LatencySample(measured, outcome or CallOutcome.succeeded)
+        for _ in range(running):
+            limiter.finished(sample, Millis(now))
+    return now
+
+
+class LimiterTest(unittest.TestCase):
+    """Guard the limit against overload and against needless decreases."""
+
+    def test_falls_to_the_real_slots_and_recovers(self) -> None:
+        """Guard against an upstream that has fewer slots than announced."""
+        limiter = Limiter(100)
+        now = drive(limiter, lambda _: 20, 2000)
+        now = drive(limiter, lambda run: 20 * max(1, run / 30) ** 2, 3000, now)
+        self.assertLess(limiter.limit, 60)
+        drive(limiter, lambda _: 20, 4000, now)
+        self.assertEqual(limiter.limit, 100)
+
+    def test_falls_on_timeouts_and_shedding(self) -> None:
+        for outcome in (CallOutcome.timed_out, CallOutcome.shed):
+            limiter = Limiter(100)
+            drive(limiter, lambda _: 20, 1000, outcome=outcome)
+            self.assertLess(limiter.limit, 30)
+
+    def test_does_not_grow_while_idle(self) -> None:
+        limiter = Limiter(100)
+        now = drive(limiter, lambda _: 20, 500, 0, CallOutcome.shed)
+        before = limiter.limit
+        for _ in range(200):
+            now += 20
+            limiter.started(Millis(now))
+            limiter.finished(LatencySample(20), Millis(now))
+        self.assertEqual(limiter.limit, before)
+
+    def test_slow_row_is_not_taken_for_overload(self) -> None:
+        """Guard against a decrease when the mix of rows changes."""
+        limiter = Limiter(50)
+        now = 0.0
+        for number in range(4000):
+            now += 1
+            row, latency = ('slow', 400) if number > 1000 else ('fast', 10)
+            limiter.started(Millis(now))
+            sample = LatencySample(latency, row=RowName(row))
+            limiter.finished(sample, Millis(now))
+        self.assertEqual(limiter.limit, 50)
+
+    @given(
+        st.integers(1, 200),
+        st.integers(1, 200),
+        st.lists(
+            st.tuples(st.floats(0, 5000), st.sampled_from(tuple(CallOutcome))),
+            max_size=60,
+        ),
+    )
+    def test_stays_within_the_announced_bounds(
+        self, slots, connections, samples
+    ) -> None:
+        limiter = Limiter(slots, connections)
+        now = 0.0
+        for latency, outcome in samples:
+            now += 20
+            limiter.started(Millis(now))
+            limiter.finished(LatencySample(latency, outcome), Millis(now))
+            self.assertLessEqual(limiter.limit, min(slots, connections))
+            self.assertGreaterEqual(limiter.limit, 1)
+
+    def test_resize_moves_the_limit(self) -> None:
+        limiter = Limiter(10)
+        limiter.resize(20, 15)
+        self.assertEqual(limiter.limit, 15)
+        limiter.resize(0, 15)
+        self.assertEqual(limiter.limit, 1)
+
+
+class ServiceTimesTest(unittest.TestCase):
+    """Guard the estimates that decide on deadlines."""
+
+    def test_unknown_row_uses_the_mean_of_all(self) -> None:
+        times = ServiceTimes()
+        for _ in range(200):
+            times.record(RowName('a'), 40, Millis(0))
+        self.assertEqual(times.expected(RowName('a'), Millis(0)), 40)
+        self.assertAlmostEqual(
+            times.expected(RowName('b'), Millis(0)), 40, delta=1
+        )
