Take the first long-term latency from a whole window

Cause: the long-term latency of a row started with the first sample. A slow back end still lowers the limit to its floor without any gain in latency.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,6 +14,7 @@
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
+FIRST_WINDOWS = 10
 # The mean of a window with ten samples varies by a third without overload.
 TOLERANCE = 1.5
 LEAST_GRADIENT = 0.5
@@ -55,7 +56,8 @@
 class _RowLatency(msgspec.Struct):
     """Hold the latencies of one row in milliseconds."""
 
-    long_term: float
+    long_term: float = 0
+    windows: int = 0
     total: float = 0
     count: int = 0
 
@@ -108,7 +110,7 @@
     def _measure(self, sample: LatencySample) -> None:
         row = self.rows.get(sample.row)
         if row is None:
-            row = _RowLatency(sample.latency)
+            row = _RowLatency()
             self.rows[sample.row] = row
         row.total += sample.latency
         row.count += 1
@@ -131,10 +133,9 @@
         self.peak = self.running
 
     def _gradient(self) -> float:
-        measured = math.fsum(row.total for row in self.rows.values())
-        usual = math.fsum(
-            row.long_term * row.count for row in self.rows.values()
-        )
+        known = [row for row in self.rows.values() if row.windows]
+        measured = math.fsum(row.total for row in known)
+        usual = math.fsum(row.long_term * row.count for row in known)
         if measured <= 0:
             return 1
         return min(1, max(LEAST_GRADIENT, TOLERANCE * usual / measured))
@@ -145,7 +146,13 @@
                 continue
             gap = row.total / row.count - row.long_term
             constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
-            row.long_term += gap * min(1, elapsed / constant)
+            # The first windows count equally. The calls that finish first
+            # are short ones, so that a single sample would be too low.
+            row.windows += 1
+            gain = elapsed / constant
+            if row.windows <= FIRST_WINDOWS:
+                gain = max(gain, 1 / row.windows)
+            row.long_term += gap * min(1, gain)
             row.total = 0
             row.count = 0
 
