Keep the limit when latency does not follow the running calls

Cause: a slow service further down raised the latency of all calls, and the limit fell to its floor although fewer running calls did not become faster. Once the running calls have fallen to 60%, the latency must have fallen too; otherwise the new latency becomes the usual one and the limit returns.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -19,6 +19,8 @@
 TOLERANCE = 1.5
 LEAST_GRADIENT = 0.5
 SMOOTHING = 0.5
+# Fall of the running calls after which the latency must have fallen too.
+DESCENT = 0.6
 # A smaller limit yields too few samples to notice that latency recovered.
 FLOOR_SHARE = 0.1
 BUSY_SHARE = 0.9
@@ -62,6 +64,17 @@
     count: int = 0
 
 
+class _Descent(msgspec.Struct):
+    """Hold the worst window since the limit began to fall.
+
+    The ratio is short-term over long-term latency.
+    """
+
+    limit: float
+    ratio: float
+    concurrency: float
+
+
 class Limiter:
     """Bound the number of running calls of one instance.
 
@@ -76,6 +89,7 @@
         self.window_start = ORIGIN
         self.samples = 0
         self.overloads = 0
+        self.descent: _Descent | None = None
         self.ceiling = 1
         self.limit: float = 1
         self.resize(slots, connections)
@@ -117,28 +131,64 @@
         self.samples += 1
 
     def _close_window(self, now: Millis) -> None:
-        overload_share = self.overloads / self.samples
-        gradient = self._gradient()
-        if overload_share > 0:
-            self._set_limit(self.limit * (1 - overload_share / 2))
-        elif gradient < 1:
-            step = 1 - SMOOTHING * (1 - gradient)
-            self._set_limit(self.limit * step)
-        elif self.peak >= self.limit * BUSY_SHARE:
-            self._set_limit(self.limit + math.sqrt(self.limit) / 2)
-        self._update_long_term(now - self.window_start)
+        elapsed = now - self.window_start
+        limit = self.limit * (1 - self.overloads / self.samples / 2)
+        ratio = self._ratio()
+        if ratio <= TOLERANCE:
+            self.descent = None
+            if self.peak >= self.limit * BUSY_SHARE:
+                limit += math.sqrt(self.limit) / 2
+        elif self._follows_concurrency(ratio, elapsed):
+            gradient = max(LEAST_GRADIENT, TOLERANCE / ratio)
+            limit *= 1 - SMOOTHING * (1 - gradient)
+        else:
+            limit = self._adopt_latency(ratio)
+        self._set_limit(limit)
+        self._update_long_term(elapsed)
         self.window_start = now
         self.samples = 0
         self.overloads = 0
         self.peak = self.running
 
-    def _gradient(self) -> float:
+    def _ratio(self) -> float:
         known = [row for row in self.rows.values() if row.windows]
         measured = math.fsum(row.total for row in known)
         usual = math.fsum(row.long_term * row.count for row in known)
-        if measured <= 0:
-            return 1
-        return min(1, max(LEAST_GRADIENT, TOLERANCE * usual / measured))
+        return measured / usual if usual > 0 else 1
+
+    def _follows_concurrency(self, ratio: float, elapsed: float) -> bool:
+        """Tell whether the latency still may be due to the running calls.
+
+        Latency that does not fall together with the number of running calls
+        has another cause, such as a slow service further down.
+        """
+        total = math.fsum(row.total for row in self.rows.values())
+        concurrency = total / elapsed
+        descent = self.descent
+        if descent is None:
+            self.descent = _Descent(self.limit, ratio, concurrency)
+            return True
+        if ratio >= descent.ratio and concurrency >= descent.concurrency:
+            descent.ratio = ratio
+            descent.concurrency = concurrency
+            return True
+        fall = concurrency / descent.concurrency
+        if fall > DESCENT:
+            descent.ratio = max(ratio, descent.ratio)
+            return True
+        if ratio > descent.ratio * math.sqrt(fall):
+            return False
+        descent.ratio = ratio
+        descent.concurrency = concurrency
+        return True
+
+    def _adopt_latency(self, ratio: float) -> float:
+        """Take the present latency as usual and return the former limit."""
+        for row in self.rows.values():
+            row.long_term *= ratio
+        limit = self.limit if self.descent is None else self.descent.limit
+        self.descent = None
+        return limit
 
     def _update_long_term(self, elapsed: float) -> None:
         for row in self.rows.values():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,6 +14,8 @@
     ServiceTimes,
 )
 
+OK = CallOutcome.succeeded
+
 
 def drive(limiter, latency, duration, start=0.0, outcome=None) -> float:
     """Keep the limiter busy; latency is a function of running calls."""
@@ -24,7 +26,7 @@
             limiter.started(Millis(now))
         measured = latency(running)
         now += measured
-        sample = LatencySample(measured, outcome or CallOutcome.succeeded)
+        sample = LatencySample(measured, outcome or OK)
         for _ in range(running):
             limiter.finished(sample, Millis(now))
     return now
@@ -42,6 +44,28 @@
         drive(limiter, lambda _: 20, 4000, now)
         self.assertEqual(limiter.limit, 100)
 
+    def test_slow_back_end_does_not_lower_the_limit_for_long(self) -> None:
+        """Guard against a limit that falls although latency stays."""
+        for factor in (2, 3, 10):
+            limiter = Limiter(100)
+            now = drive(limiter, lambda _: 20, 2000)
+            drive(limiter, lambda _, slow=20 * factor: slow, 4000, now)
+            self.assertEqual(limiter.limit, 100)
+
+    def test_few_timeouts_do_not_close_the_instance(self) -> None:
+        """Guard against a limit that one bad row drives to the floor."""
+        limiter = Limiter(100)
+        now = 0.0
+        for number in range(20_000):
+            limiter.started(Millis(now))
+            if limiter.running < int(limiter.limit):
+                continue
+            now += 1
+            failed = number % 50 == 0
+            outcome = CallOutcome.timed_out if failed else OK
+            limiter.finished(LatencySample(20, outcome), Millis(now))
+        self.assertGreater(limiter.limit, 80)
+
     def test_falls_on_timeouts_and_shedding(self) -> None:
         for outcome in (CallOutcome.timed_out, CallOutcome.shed):
             limiter = Limiter(100)
