--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -15,8 +15,10 @@
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
 FIRST_WINDOWS = 10
-# The mean of a window with ten samples varies by a third without overload.
-TOLERANCE = 1.5
+# Tolerated ratio of short-term to long-term latency. The spread covers the
+# variation of a mean, which falls with the square root of the samples.
+TOLERANCE = 1.1
+TOLERANCE_SPREAD = 1.5
 LEAST_GRADIENT = 0.5
 SMOOTHING = 0.5
 # Fall of the running calls after which the latency must have fallen too.
@@ -134,12 +136,13 @@
         elapsed = now - self.window_start
         limit = self.limit * (1 - self.overloads / self.samples / 2)
         ratio = self._ratio()
-        if ratio <= TOLERANCE:
+        tolerance = TOLERANCE + TOLERANCE_SPREAD / math.sqrt(self.samples)
+        if ratio <= tolerance:
             self.descent = None
             if self.peak >= self.limit * BUSY_SHARE:
                 limit += math.sqrt(self.limit) / 2
         elif self._follows_concurrency(ratio, elapsed):
-            gradient = max(LEAST_GRADIENT, TOLERANCE / ratio)
+            gradient = max(LEAST_GRADIENT, tolerance / ratio)
             limit *= 1 - SMOOTHING * (1 - gradient)
         else:
             limit = self._adopt_latency(ratio)
