--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -139,7 +139,7 @@
         tolerance = TOLERANCE + TOLERANCE_SPREAD / math.sqrt(self.samples)
         if ratio <= tolerance:
             self.descent = None
-            if self.peak >= self.limit * BUSY_SHARE:
+            if self.peak >= math.floor(self.limit) * BUSY_SHARE:
                 limit += math.sqrt(self.limit) / 2
         elif self._follows_concurrency(ratio, elapsed):
             gradient = max(LEAST_GRADIENT, tolerance / ratio)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -66,6 +66,13 @@
             limiter.finished(LatencySample(20, outcome), Millis(now))
         self.assertGreater(limiter.limit, 80)
 
+    def test_grows_from_a_fraction_of_a_slot(self) -> None:
+        """Guard against a busy instance that is taken for an idle one."""
+        limiter = Limiter(15)
+        limiter.limit = 8.95
+        drive(limiter, lambda _: 20, 2000)
+        self.assertEqual(limiter.limit, 15)
+
     def test_falls_on_timeouts_and_shedding(self) -> None:
         for outcome in (CallOutcome.timed_out, CallOutcome.shed):
             limiter = Limiter(100)
