Start a new limiter at a fifth of the announced slots

Cause: a cold instance was given all announced slots at once, and the latency measured while it was overloaded became the usual latency. Two tests set the limit that they start from; what they require is the same. The new test fails without the change.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -23,6 +23,10 @@
 SMOOTHING = 0.5
 # Fall of the running calls after which the latency must have fallen too.
 DESCENT = 0.6
+# A cold instance cannot use its announced slots yet, and latency measured
+# while it is overloaded would be taken for the usual one.
+START_SHARE = 0.2
+START_GROWTH = 0.25
 # A smaller limit yields too few samples to notice that latency recovered.
 FLOOR_SHARE = 0.1
 BUSY_SHARE = 0.9
@@ -95,7 +99,8 @@
         self.ceiling = 1
         self.limit: float = 1
         self.resize(slots, connections)
-        self.limit = self.ceiling
+        self.starting = True
+        self._set_limit(self.ceiling * START_SHARE)
 
     def resize(self, slots: int, connections: int | None = None) -> None:
         """Adopt newly announced slots and connections."""
@@ -140,12 +145,14 @@
         if ratio <= tolerance:
             self.descent = None
             if self.peak >= math.floor(self.limit) * BUSY_SHARE:
-                limit += math.sqrt(self.limit) / 2
+                limit += self._increase()
         elif self._follows_concurrency(ratio, elapsed):
             gradient = max(LEAST_GRADIENT, tolerance / ratio)
             limit *= 1 - SMOOTHING * (1 - gradient)
         else:
             limit = self._adopt_latency(ratio)
+        if ratio > tolerance or self.overloads or limit >= self.ceiling:
+            self.starting = False
         self._set_limit(limit)
         self._update_long_term(elapsed)
         self.window_start = now
@@ -153,6 +160,11 @@
         self.overloads = 0
         self.peak = self.running
 
+    def _increase(self) -> float:
+        if self.starting:
+            return self.limit * START_GROWTH
+        return math.sqrt(self.limit) / 2
+
     def _ratio(self) -> float:
         known = [row for row in self.rows.values() if row.windows]
         measured = math.fsum(row.total for row in known)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -44,6 +44,12 @@
         drive(limiter, lambda _: 20, 4000, now)
         self.assertEqual(limiter.limit, 100)
 
+    def test_cold_instance_starts_with_few_calls(self) -> None:
+        """Guard against overload that is taken for the usual latency."""
+        limiter = Limiter(100)
+        drive(limiter, lambda run: 20 * max(1, run / 20) ** 2, 3000)
+        self.assertLess(limiter.limit, 40)
+
     def test_slow_back_end_does_not_lower_the_limit_for_long(self) -> None:
         """Guard against a limit that falls although latency stays."""
         for factor in (2, 3, 10):
@@ -92,6 +98,7 @@
     def test_slow_row_is_not_taken_for_overload(self) -> None:
         """Guard against a decrease when the mix of rows changes."""
         limiter = Limiter(50)
+        limiter.limit = 50
         now = 0.0
         for number in range(4000):
             now += 1
@@ -123,6 +130,7 @@
 
     def test_resize_moves_the_limit(self) -> None:
         limiter = Limiter(10)
+        limiter.limit = 10
         limiter.resize(20, 15)
         self.assertEqual(limiter.limit, 15)
         limiter.resize(0, 15)
