Close a latency window after at least 40 samples

Cause: with 10 samples the mean of a window is so noisy that contention was taken for a slow back end (40 slots) and a slow back end for contention (15 slots).

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -10,7 +10,7 @@
 
 # A window needs enough samples for a mean and enough time for an effect.
 WINDOW = 100
-WINDOW_SAMPLES = 10
+WINDOW_SAMPLES = 40
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
