Learn the first long-term latency from two windows

Cause: the mean of ten windows included the overload of a cold start, so that the overloaded latency counted as usual.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,7 +14,7 @@
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
-FIRST_WINDOWS = 10
+FIRST_WINDOWS = 2
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
 TOLERANCE = 1.1
