--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,7 +14,7 @@
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
-FIRST_WINDOWS = 2
+FIRST_WINDOWS = 3
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
 TOLERANCE = 1.1
@@ -166,7 +166,7 @@
         return math.sqrt(self.limit) / 2
 
     def _ratio(self) -> float:
-        known = [row for row in self.rows.values() if row.windows]
+        known = [row for row in self.rows.values() if row.windows > 1]
         measured = math.fsum(row.total for row in known)
         usual = math.fsum(row.long_term * row.count for row in known)
         return measured / usual if usual > 0 else 1
@@ -211,12 +211,12 @@
                 continue
             gap = row.total / row.count - row.long_term
             constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
-            # The first windows count equally. The calls that finish first
-            # are short ones, so that a single sample would be too low.
+            # The calls that finish in the first window are the short ones,
+            # so the second one replaces it. The third counts equally.
             row.windows += 1
             gain = elapsed / constant
             if row.windows <= FIRST_WINDOWS:
-                gain = max(gain, 1 / row.windows)
+                gain = 1 / max(1, row.windows - 1)
             row.long_term += gap * min(1, gain)
             row.total = 0
             row.count = 0
