Add membership: gossip of node entries and failure detection

Entries form a join semilattice of incarnation, status and version, so loss, duplication and reordering do not change the final view. A failure domain is judged by a beat that any of its members advances, so a cut-off domain is not marked member by member.

--- /dev/null
+++ b/src/jasmineramp/membership_probes.py
@@ -0,0 +1,361 @@
+"""Ping other nodes, judge missing answers and answer pings."""
+
+from functools import singledispatch
+
+import msgspec
+
+from jasmineramp.clock import Millis
+from jasmineramp.effects import Effect, SendMessage
+from jasmineramp.ids import NodeId
+from jasmineramp.membership_messages import (
+    Ack,
+    DomainDigest,
+    Entries,
+    EntryRequest,
+    MembershipMessage,
+    MemberStatus,
+    Ping,
+    PingRequest,
+)
+from jasmineramp.membership_state import (
+    MembershipState,
+    Probe,
+    ProbeKind,
+    enqueue,
+    hold,
+    is_connected,
+    merge,
+    record_result,
+    release,
+    replace_entry,
+    take_changes,
+)
+from jasmineramp.membership_sync import (
+    answer_digest,
+    answer_request,
+    compare_marks,
+    start_sync,
+    take_entries,
+)
+from jasmineramp.membership_view import is_member
+
+PING_MS = 500
+# Confirms the view of a node that starts or wakes up quickly.
+CONFIRM_PING_MS = 200
+DOMAIN_PING_MS = 1_000
+DIRECT_MS = 400
+PROBE_MS = 1_000
+INDIRECT_PINGS = 2
+CONTACT_ROUNDS = 10
+MISSES_UNTIL_UNREACHABLE = 3
+
+
+def run_timers(state: MembershipState, now: Millis) -> list[Effect]:
+    """Send due pings and judge pings without an answer."""
+    effects: list[Effect] = []
+    if now >= state.ping_at:
+        pause = PING_MS if state.is_current else CONFIRM_PING_MS
+        state.ping_at = now + pause
+        effects.extend(_ping_members(state, now))
+    if now >= state.domain_ping_at:
+        state.domain_ping_at = now + DOMAIN_PING_MS
+        effects.extend(_ping_domain(state, now))
+    if state.probes:
+        effects.extend(_judge_probes(state, now))
+    if state.suspects:
+        effects.extend(_judge_suspects(state, now))
+    return effects
+
+
+@singledispatch
+def handle(
+    message: MembershipMessage,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    """React to a message by its type."""
+    raise NotImplementedError(type(message))
+
+
+@handle.register
+def _handle_ping(
+    message: Ping,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    if message.target not in {'', state.node}:
+        # The address belonged to another node before.
+        return []
+    effects = merge(state, (message.entry, *message.changes), now)
+    peer = message.entry.node
+    release(state, peer)
+    compare_marks(state, message.marks, now)
+    effects.append(SendMessage(peer, _ack(state, peer, message.sequence)))
+    return effects
+
+
+@handle.register
+def _handle_ack(
+    message: Ack,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    effects = merge(state, (message.entry, *message.changes), now)
+    peer = message.entry.node
+    differing = compare_marks(state, message.marks, now)
+    probe = state.probes.pop(message.sequence, None)
+    if probe is None:
+        return effects
+    state.answered_at = now
+    domain = state.view.domains.get(message.entry.domain)
+    if domain is not None:
+        domain.misses = 0
+    release(state, peer)
+    release(state, message.target)
+    if probe.kind is not ProbeKind.contact:
+        record_result(state, message.target, now, answered=True)
+    if probe.relay is not None:
+        requester, sequence = probe.relay
+        answer = _ack(state, requester, sequence, message.target)
+        effects.append(SendMessage(requester, answer))
+    if message.target == _lowest(state):
+        state.reported = (message.target, probe.revision)
+    if differing:
+        effects.extend(start_sync(state, peer, differing, now))
+    elif message.marks and message.sequence > state.confirm_after:
+        state.is_current = True
+    return effects
+
+
+@handle.register
+def _handle_ping_request(
+    message: PingRequest,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    effects = merge(state, (message.entry,), now)
+    ping = _ping(state, message.target, ProbeKind.relay, now)
+    relay = (message.entry.node, message.sequence)
+    state.probes[state.sequence].relay = relay
+    return [*effects, ping]
+
+
+@handle.register
+def _handle_digest(
+    message: DomainDigest,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return answer_digest(state, sender, message)
+
+
+@handle.register
+def _handle_request(
+    message: EntryRequest,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return answer_request(state, sender, message)
+
+
+@handle.register
+def _handle_entries(
+    message: Entries,
+    state: MembershipState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return take_entries(state, sender, message, now)
+
+
+def _ping(
+    state: MembershipState,
+    target: NodeId,
+    kind: ProbeKind,
+    now: Millis,
+) -> SendMessage:
+    state.sequence += 1
+    probe = Probe(target, kind, now, state.entry.revision)
+    state.probes[state.sequence] = probe
+    message = Ping(
+        NodeId('') if kind is ProbeKind.contact else target,
+        state.sequence,
+        state.entry,
+        state.current_marks(),
+        take_changes(state, target),
+    )
+    return SendMessage(target, message)
+
+
+def _ack(
+    state: MembershipState,
+    peer: NodeId,
+    sequence: int,
+    target: NodeId | None = None,
+) -> Ack:
+    return Ack(
+        target or state.node,
+        sequence,
+        state.entry,
+        state.current_marks(),
+        take_changes(state, peer),
+    )
+
+
+def _ping_members(state: MembershipState, now: Millis) -> list[Effect]:
+    state.rounds += 1
+    targets = []
+    member = _next_member(state)
+    if member is not None:
+        targets.append(member)
+    # The lowest member gathers revisions; it hears of a new one directly.
+    lowest = _lowest(state)
+    report = (lowest, state.entry.revision)
+    if lowest not in {state.node, member} and state.reported != report:
+        targets.append(lowest)
+    effects: list[Effect] = [
+        _ping(state, target, ProbeKind.member, now) for target in targets
+    ]
+    if not targets or state.rounds % CONTACT_ROUNDS == 0:
+        contact = _choose_contact(state)
+        if contact is not None:
+            effects.append(_ping(state, contact, ProbeKind.contact, now))
+    return effects
+
+
+def _lowest(state: MembershipState) -> NodeId:
+    return next(iter(state.view.members(state.domain)), state.node)
+
+
+def _next_member(state: MembershipState) -> NodeId | None:
+    members = state.view.members(state.domain)
+    if not state.ring:
+        state.ring = [node for node in members if node != state.node]
+        state.random.shuffle(state.ring)
+    while state.ring:
+        node = state.ring.pop()
+        if is_member(state.view.entries[node]):
+            return node
+    return None
+
+
+def _choose_contact(state: MembershipState) -> NodeId | None:
+    # A member declared dead while it was cut off is found again.
+    entries = state.view.entries
+    contacts = [
+        node
+        for node in state.tombstones
+        if entries[node].status is MemberStatus.dead
+        and entries[node].domain == state.domain
+    ]
+    if state.seeds:
+        known = {each.address for each in entries.values() if is_member(each)}
+        contacts.extend(NodeId(seed) for seed in sorted(state.seeds - known))
+    return state.random.choice(contacts) if contacts else None
+
+
+def _ping_domain(state: MembershipState, now: Millis) -> list[Effect]:
+    domains = state.view.domains
+    if not state.domain_ring:
+        state.domain_ring = [name for name in domains if name != state.domain]
+        state.random.shuffle(state.domain_ring)
+    while state.domain_ring:
+        members = state.view.members(state.domain_ring.pop())
+        if members:
+            target = state.random.choice(members)
+            return [_ping(state, target, ProbeKind.domain, now)]
+    return []
+
+
+def _judge_probes(state: MembershipState, now: Millis) -> list[Effect]:
+    effects: list[Effect] = []
+    for sequence, probe in list(state.probes.items()):
+        waited = now - probe.sent_at
+        if waited >= PROBE_MS:
+            state.probes.pop(sequence)
+            effects.extend(_judge_probe(state, probe, now))
+        elif waited >= DIRECT_MS and not probe.asked:
+            probe.asked = True
+            if probe.kind is ProbeKind.member:
+                effects.extend(_ask_helpers(state, sequence, probe))
+    return effects
+
+
+def _ask_helpers(
+    state: MembershipState,
+    sequence: int,
+    probe: Probe,
+) -> list[Effect]:
+    helpers = [
+        node
+        for node in state.view.members(state.domain)
+        if node not in {state.node, probe.target}
+    ]
+    count = min(INDIRECT_PINGS, len(helpers))
+    request = PingRequest(probe.target, sequence, state.entry)
+    return [
+        SendMessage(helper, request)
+        for helper in state.random.sample(helpers, count)
+    ]
+
+
+def _judge_probe(
+    state: MembershipState,
+    probe: Probe,
+    now: Millis,
+) -> list[Effect]:
+    entry = state.view.entries.get(probe.target)
+    if entry is None or not state.is_current or not is_member(entry):
+        return []
+    if probe.kind is ProbeKind.domain:
+        return _miss_domain(state, probe.target, now)
+    if probe.kind is not ProbeKind.member:
+        return []
+    record_result(state, probe.target, now, answered=False)
+    if not is_connected(state, now):
+        hold(state, probe.target)
+        return []
+    if entry.status is not MemberStatus.alive:
+        return []
+    suspected = msgspec.structs.replace(entry, status=MemberStatus.suspect)
+    effects = replace_entry(state, entry, suspected, now)
+    enqueue(state, probe.target)
+    # The suspect must hear of the suspicion before it is declared dead.
+    return [*effects, _ping(state, probe.target, ProbeKind.contact, now)]
+
+
+def _miss_domain(
+    state: MembershipState,
+    target: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    name = state.view.entries[target].domain
+    domain = state.view.domains[name]
+    if domain.available:
+        record_result(state, target, now, answered=False)
+    domain.misses += 1
+    if domain.misses < MISSES_UNTIL_UNREACHABLE:
+        state.domain_ring.append(name)
+        return _ping_domain(state, now)
+    return []
+
+
+def _judge_suspects(state: MembershipState, now: Millis) -> list[Effect]:
+    effects: list[Effect] = []
+    for node, until in list(state.suspects.items()):
+        if now < until or not state.is_current:
+            continue
+        entry = state.view.entries[node]
+        if entry.domain == state.domain and is_connected(state, now):
+            dead = msgspec.structs.replace(entry, status=MemberStatus.dead)
+            effects.extend(replace_entry(state, entry, dead, now))
+            enqueue(state, node)
+        elif node not in state.held:
+            hold(state, node)
+    return effects
--- /dev/null
+++ b/src/jasmineramp/membership_sync.py
@@ -0,0 +1,189 @@
+"""Compare views between two nodes and exchange what one of them lacks."""
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterable, Sequence
+
+from jasmineramp.clock import Millis
+from jasmineramp.effects import Effect, SendMessage
+from jasmineramp.ids import DomainId, NodeId
+from jasmineramp.membership_messages import (
+    DomainDigest,
+    DomainMark,
+    Entries,
+    EntryDigest,
+    EntryRequest,
+    NodeEntry,
+)
+from jasmineramp.membership_state import MembershipState, merge
+from jasmineramp.membership_view import differs, join_entries
+
+SYNC_MS = 1_000
+MAXIMUM_DIGESTS = 128
+MAXIMUM_DIGESTS_PER_SYNC = 512
+MAXIMUM_ENTRIES = 32
+# A larger batch is the catching up of one node; the others know it already.
+MAXIMUM_GOSSIPED_BATCH = 8
+
+
+def compare_marks(
+    state: MembershipState,
+    marks: Iterable[DomainMark],
+    now: Millis,
+) -> list[DomainId]:
+    """Take over newer beats and return the domains that differ."""
+    differing = []
+    domains = state.view.domains
+    for mark in marks:
+        domain = domains.get(mark.domain)
+        if domain is None:
+            if mark.digest:
+                differing.append(mark.domain)
+            continue
+        if mark.beat > domain.beat:
+            domain.beat = mark.beat
+            domain.beat_at = now
+            state.marks = None
+        if mark.digest != domain.digest:
+            differing.append(mark.domain)
+    return differing
+
+
+def start_sync(
+    state: MembershipState,
+    peer: NodeId,
+    differing: list[DomainId],
+    now: Millis,
+) -> list[Effect]:
+    """Send digests of differing domains, at most once a second."""
+    if now < state.sync_at:
+        return []
+    state.sync_at = now + SYNC_MS
+    effects: list[Effect] = []
+    budget = MAXIMUM_DIGESTS_PER_SYNC
+    state.random.shuffle(differing)
+    for name in differing:
+        if budget <= 0:
+            break
+        budget -= max(1, len(state.view.members(name)))
+        effects.extend(_digest_messages(state, peer, name))
+    return effects
+
+
+def answer_digest(
+    state: MembershipState,
+    peer: NodeId,
+    message: DomainDigest,
+) -> list[Effect]:
+    """Send newer entries and ask for those that the peer has newer."""
+    newer: list[NodeEntry] = []
+    wanted: list[NodeId] = []
+    listed = set()
+    for digest in message.digests:
+        listed.add(digest.node)
+        known = state.view.entries.get(digest.node)
+        if known is None:
+            wanted.append(digest.node)
+            continue
+        theirs = _as_entry(known, digest)
+        joined = join_entries(known, theirs)
+        if differs(theirs, joined):
+            newer.append(known)
+        if differs(known, joined):
+            wanted.append(digest.node)
+    for node in _range(state.view.members(message.domain), message):
+        if node not in listed:
+            newer.append(state.view.entries[node])
+    effects: list[Effect] = list(_entry_messages(peer, newer))
+    for start in range(0, len(wanted), MAXIMUM_DIGESTS):
+        nodes = tuple(wanted[start : start + MAXIMUM_DIGESTS])
+        effects.append(SendMessage(peer, EntryRequest(nodes)))
+    return effects
+
+
+def answer_request(
+    state: MembershipState,
+    peer: NodeId,
+    message: EntryRequest,
+) -> list[Effect]:
+    """Send the requested entries."""
+    entries = state.view.entries
+    found = [entries[node] for node in message.nodes if node in entries]
+    return list(_entry_messages(peer, found))
+
+
+def take_entries(
+    state: MembershipState,
+    peer: NodeId,
+    message: Entries,
+    now: Millis,
+) -> list[Effect]:
+    """Merge entries and return those of which this node knows newer ones."""
+    queue = len(message.entries) <= MAXIMUM_GOSSIPED_BATCH
+    effects = merge(state, message.entries, now, queue=queue)
+    newer = []
+    for heard in message.entries:
+        known = state.view.entries.get(heard.node)
+        if known is not None and differs(heard, known):
+            newer.append(known)
+    effects.extend(_entry_messages(peer, newer))
+    return effects
+
+
+def _digest_messages(
+    state: MembershipState,
+    peer: NodeId,
+    name: DomainId,
+) -> list[Effect]:
+    digests = [
+        _as_digest(state.view.entries[node])
+        for node in state.view.members(name)
+    ]
+    messages: list[Effect] = []
+    first = ''
+    for start in range(0, max(1, len(digests)), MAXIMUM_DIGESTS):
+        end = start + MAXIMUM_DIGESTS
+        last = digests[end - 1].node if end < len(digests) else ''
+        part = tuple(digests[start:end])
+        messages.append(
+            SendMessage(peer, DomainDigest(name, first, last, part)),
+        )
+        # The next range begins right after the last listed node id.
+        first = f'{last}\0'
+    return messages
+
+
+def _entry_messages(
+    peer: NodeId,
+    entries: Sequence[NodeEntry],
+) -> Iterable[SendMessage]:
+    for start in range(0, len(entries), MAXIMUM_ENTRIES):
+        part = tuple(entries[start : start + MAXIMUM_ENTRIES])
+        yield SendMessage(peer, Entries(part))
+
+
+def _range(members: list[NodeId], message: DomainDigest) -> list[NodeId]:
+    start = bisect_left(members, message.first)
+    end = len(members)
+    if message.last:
+        end = bisect_right(members, message.last)
+    return members[start:end]
+
+
+def _as_digest(entry: NodeEntry) -> EntryDigest:
+    return EntryDigest(
+        entry.node,
+        entry.incarnation,
+        entry.version,
+        entry.status,
+    )
+
+
+def _as_entry(known: NodeEntry, digest: EntryDigest) -> NodeEntry:
+    return NodeEntry(
+        digest.node,
+        known.address,
+        known.domain,
+        digest.incarnation,
+        digest.version,
+        digest.status,
+    )
