Test membership over a faulty network; contact dead entries in turn

A state machine crashed every seed and restarted a node: nobody contacted it, because only dead members of the own failure domain were contacted.

--- a/src/jasmineramp/membership_probes.py
+++ b/src/jasmineramp/membership_probes.py
@@ -246,18 +246,15 @@
 
 
 def _choose_contact(state: MembershipState) -> NodeId | None:
-    # A member declared dead while it was cut off is found again.
-    entries = state.view.entries
-    contacts = [
-        node
-        for node in state.tombstones
-        if entries[node].status is MemberStatus.dead
-        and entries[node].domain == state.domain
-    ]
-    if state.seeds:
-        known = {each.address for each in entries.values() if is_member(each)}
-        contacts.extend(NodeId(seed) for seed in sorted(state.seeds - known))
-    return state.random.choice(contacts) if contacts else None
+    # Finds members that were declared dead while they were cut off and
+    # nodes that returned at their address while no seed was running.
+    if not state.contact_ring:
+        entries = state.view.entries
+        known = {each.address for each in entries.values()}
+        state.contact_ring.extend(state.tombstones)
+        state.contact_ring.extend(map(NodeId, sorted(state.seeds - known)))
+        state.random.shuffle(state.contact_ring)
+    return state.contact_ring.pop() if state.contact_ring else None
 
 
 def _ping_domain(state: MembershipState, now: Millis) -> list[Effect]:
--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -130,6 +130,7 @@
         self.foreign_results = Results()
         self.ring: list[NodeId] = []
         self.domain_ring: list[DomainId] = []
+        self.contact_ring: list[NodeId] = []
         self.rounds = 0
 
         self.ticked_at = now
@@ -382,3 +383,4 @@
     state.held.clear()
     state.ring.clear()
     state.domain_ring.clear()
+    state.contact_ring.clear()
