--- /dev/null
+++ b/src/jasmineramp/claim_log.py
@@ -0,0 +1,121 @@
+"""Encode the claim log and derive the digests of claims."""
+
+import hashlib
+import struct
+from collections.abc import Iterator
+
+import msgspec
+
+from jasmineramp.claim_messages import ClaimEnd
+from jasmineramp.ids import IdempotencyKey, NodeId, PartitionId, WorkspaceId
+
+_KEY_BYTES = 8
+_BODY_BYTES = 4
+
+# Key, body, token and duration until the deadline in milliseconds.
+CLAIM = struct.Struct('>QIQI')
+# Token, HTTP status and code of the end.
+OUTCOME = struct.Struct('>QHB')
+# Key, body and HTTP status; status 0 means an unknown outcome.
+ENDED = struct.Struct('>QIH')
+
+LONGEST_DEADLINE_MS = 2**32 - 1
+END_CODES = {ClaimEnd.done: 0, ClaimEnd.unknown: 1, ClaimEnd.not_run: 2}
+ENDS = {code: end for end, code in END_CODES.items()}
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the claims of all records since the previous summary."""
+
+    ended: bytes
+    open: bytes
+
+
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one batch; its outcomes apply before its claims.
+
+    The author identifies the term of an owner, so the owner recognises its
+    own record when it reads back a write.
+    """
+
+    author: str
+    outcomes: bytes = b''
+    claims: bytes = b''
+    summary: Summary | None = None
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """Tell where to read the log of a partition.
+
+    Generations are the sequence numbers of summaries and their ages in
+    milliseconds; records from start onward are not in a summary yet.
+    """
+
+    author: str
+    partitions: int
+    start: int
+    generations: tuple[tuple[int, float], ...] = ()
+
+
+class OwnerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Name the owner of a partition and its term."""
+
+    node: NodeId
+    author: str
+
+
+encode = msgspec.msgpack.Encoder().encode
+decode_record = msgspec.msgpack.Decoder(LogRecord).decode
+decode_head = msgspec.msgpack.Decoder(Head).decode
+decode_owner = msgspec.msgpack.Decoder(OwnerEntry).decode
+
+
+def owner_key(partition: PartitionId) -> str:
+    """Return the store key that names the owner."""
+    return f'claims/owner/{partition}'
+
+
+def head_key(partition: PartitionId) -> str:
+    """Return the store key of the head."""
+    return f'claims/head/{partition}'
+
+
+def log_key(partition: PartitionId, sequence: int) -> str:
+    """Return the store key of a log record."""
+    return f'claims/log/{partition}/{sequence}'
+
+
+def locate_claim(
+    workspace: WorkspaceId, key: IdempotencyKey, partitions: int
+) -> tuple[PartitionId, int]:
+    """Return the partition and the key digest of a claim.
+
+    Two keys with the same 64-bit digest share a claim, so the second one is
+    refused; it never runs twice.
+    """
+    text = f'{len(workspace)}:{workspace}:{key}'
+    digest = hashlib.blake2b(text.encode(), digest_size=2 * _KEY_BYTES).digest()
+    number = int.from_bytes(digest[_KEY_BYTES:], 'big')
+    return (
+        PartitionId(number % partitions),
+        int.from_bytes(digest[:_KEY_BYTES], 'big'),
+    )
+
+
+def digest_body(body: bytes) -> int:
+    """Return the digest that tells bodies of repeated calls apart."""
+    digest = hashlib.blake2b(body, digest_size=_BODY_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def make_token(author: str, count: int) -> int:
+    """Return the token of an attempt; authors are unique processes."""
+    text = f'{author}#{count}'
+    digest = hashlib.blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def unpack_outcomes(packed: bytes) -> Iterator[tuple[int, int, ClaimEnd]]:
+    """Yield token, status and end of each outcome."""
+    for token, status, code in OUTCOME.iter_unpack(packed):
+        yield token, status, ENDS[code]
--- /dev/null
+++ b/src/jasmineramp/claim_owner.py
@@ -0,0 +1,400 @@
+"""Take over one partition of the claims and write its log."""
+
+import random
+
+from jasmineramp.claim_ledger import ClaimLedger
+from jasmineramp.claim_log import (
+    Head,
+    LogRecord,
+    OwnerEntry,
+    decode_head,
+    decode_owner,
+    decode_record,
+    encode,
+    head_key,
+    log_key,
+    owner_key,
+)
+from jasmineramp.claim_reader import Found, LogReader
+from jasmineramp.claim_settings import (
+    APPEND_INTERVAL_MS,
+    CLAIMS_PER_PERIOD,
+    FAILURES_UNTIL_UNAVAILABLE,
+    HAND_BACK_MS,
+    LEASE_USE,
+    LONGEST_PERIOD_MS,
+    OWNER_LEASE_MS,
+    PERIOD_LEASE_MS,
+    PERIOD_MS,
+    POLL_MS,
+    RECORDS_PER_PERIOD,
+    RENEW_MS,
+    SECOND_DOMAIN_WAIT_MS,
+    ClaimSettings,
+    Phase,
+)
+from jasmineramp.clock import Millis, later
+from jasmineramp.effects import Effect, EventKind, RecordEvent
+from jasmineramp.ids import NodeId, PartitionId
+from jasmineramp.store_messages import (
+    CompareAndSwap,
+    Get,
+    GrantLease,
+    KeepAlive,
+    Operation,
+    Outcome,
+    RevokeLease,
+    Role,
+    StoreAnswer,
+    StoreAnswered,
+    StoreRequest,
+)
+from jasmineramp.store_steps import StoreStep
+
+
+class ClaimOwner:
+    """Own a partition for a term, from taking it over to giving it up.
+
+    The sealing record of a new owner is create-only at the first absent
+    sequence number. It fences the predecessor, whose next append conflicts.
+    """
+
+    def __init__(
+        self,
+        partition: PartitionId,
+        settings: ClaimSettings,
+        source: random.Random,
+    ) -> None:
+        self.partition = partition
+        self.settings = settings
+        self.random = source
+        prefix = f'claims/{partition}'
+        self.step = StoreStep(Role.claim, f'{prefix}/step', source)
+        self.renewal = StoreStep(Role.claim, f'{prefix}/renewal', source)
+        self.reader: LogReader | None = None
+        self.count = 0
+        self.phase = Phase.idle
+        self.rank: int | None = None
+        self.owner = NodeId('')
+        self.poll_at = Millis(0)
+        self.absent_since: Millis | None = None
+        self.displaced_since: Millis | None = None
+        self.author = ''
+        self.lease_until: Millis | None = None
+        self.renew_at = Millis(0)
+        self.period_lease = ''
+        self.period_since = Millis(0)
+        self.records = 0
+        self.sequence = 0
+        self.head_revision = 0
+        self.next_append = Millis(0)
+        self.ready = False
+        self.resigning = False
+        self.ledger = self._new_ledger()
+
+    @property
+    def accepting(self) -> bool:
+        """Tell whether new claims may be offered."""
+        return self.ready and not self.resigning
+
+    @property
+    def writable(self) -> bool:
+        """Tell whether the store takes writes."""
+        return self.step.failures < FAILURES_UNTIL_UNAVAILABLE
+
+    @property
+    def hint(self) -> NodeId:
+        """Return the owner if it is known to be another node."""
+        return NodeId('') if self.owner == self.settings.node else self.owner
+
+    def tick(self, now: Millis) -> list[Effect]:
+        """Let time pass."""
+        effects = self.step.tick(now) + self.renewal.tick(now)
+        if self.reader is not None:
+            effects += self.reader.tick(now)
+        if self.phase is Phase.idle:
+            if self.rank is not None and now >= self.poll_at:
+                effects += self._move(
+                    Phase.polling, Get(owner_key(self.partition)), now
+                )
+        elif self.lease_until is not None:
+            if now >= self.lease_until:
+                return effects + self._step_down(now, 'lease has lapsed')
+            if now >= self.renew_at and not self.renewal.busy:
+                keep_alive = KeepAlive(self._lease_name())
+                effects += self.renewal.start(keep_alive, now)
+        if self.ready:
+            effects += self._serve(now)
+        return effects
+
+    def note_displaced(self, displaced: bool, now: Millis) -> None:
+        """Hand the partition back once its own domain is alive for long."""
+        if not displaced:
+            self.displaced_since = None
+        elif self.displaced_since is None:
+            self.displaced_since = now
+        elif self.ready and now - self.displaced_since >= HAND_BACK_MS:
+            self.resigning = True
+
+    def resign(self, now: Millis) -> list[Effect]:
+        """Accept no more claims and give the partition up once written."""
+        self.rank = None
+        if self.ready:
+            self.resigning = True
+            return self.flush(now)
+        if self.phase in {Phase.idle, Phase.polling}:
+            return []
+        return self._step_down(now, 'node is stopping')
+
+    def answered(self, event: StoreAnswered, now: Millis) -> list[Effect]:
+        """Take the answer to one of the owner's store requests."""
+        if self.reader is not None and self.reader.answered(event, now):
+            return self._read_on(now)
+        if event.tag == self.renewal.tag:
+            return self._renewed(event, now)
+        answer, effects = self.step.answered(event, now)
+        if answer is None:
+            return effects
+        if self.phase is Phase.polling:
+            return self._polled(answer, now)
+        if answer.outcome is Outcome.done:
+            return self._proceed(answer, now)
+        return self._conflict(now)
+
+    def flush(self, now: Millis) -> list[Effect]:
+        """Write the next batch if one is due."""
+        if self.phase is not Phase.serving or self.step.busy:
+            return []
+        if now < self.next_append:
+            return []
+        if self._is_period_over(now):
+            return self._begin_period(now)
+        record = self.ledger.take(self.author, now)
+        if record is not None:
+            return self._append(record, now)
+        if self.resigning:
+            return self._step_down(now, 'partition is handed over')
+        return []
+
+    def _serve(self, now: Millis) -> list[Effect]:
+        if now - self.period_since > LONGEST_PERIOD_MS:
+            return self._step_down(now, 'log period cannot be renewed')
+        return self.ledger.expire(now) + self.flush(now)
+
+    def _renewed(self, event: StoreAnswered, now: Millis) -> list[Effect]:
+        answer, effects = self.renewal.answered(event, now)
+        if answer is None:
+            return effects
+        if answer.outcome is not Outcome.done:
+            return self._step_down(now, 'lease is absent')
+        self._note_lease(self.renewal.sent_at)
+        return effects
+
+    def _proceed(self, answer: StoreAnswer, now: Millis) -> list[Effect]:
+        match self.phase:
+            case Phase.head:
+                return self._read_head(answer, now)
+            case Phase.heading:
+                return self._start_serving(answer, now)
+        steps = {
+            Phase.leasing: self._leased,
+            Phase.owning: self._begin_period,
+            Phase.period: self._period_begun,
+            Phase.sealing: self._sealed,
+            Phase.serving: self._appended,
+        }
+        return steps[self.phase](now)
+
+    def _conflict(self, now: Millis) -> list[Effect]:
+        match self.phase:
+            case Phase.leasing:
+                return self._begin(now)
+            case Phase.period:
+                return self._begin_period(now)
+            case Phase.sealing if not self.ready:
+                # The predecessor wrote a record meanwhile; read it as well.
+                head = Head('', len(self.settings.domains), self.sequence)
+                return self._read_from(head, now)
+        return self._step_down(now, f'lost a race while {self.phase.value}')
+
+    def _polled(self, answer: StoreAnswer, now: Millis) -> list[Effect]:
+        self.phase = Phase.idle
+        self.poll_at = later(now, self.random.uniform(POLL_MS / 2, POLL_MS))
+        self.owner = NodeId('')
+        if answer.revision and answer.body is not None:
+            self.owner = decode_owner(answer.body).node
+            self.absent_since = None
+            return []
+        if self.absent_since is None:
+            self.absent_since = now
+        absent_ms = now - self.absent_since
+        if self.rank is None or (
+            self.rank and absent_ms < SECOND_DOMAIN_WAIT_MS
+        ):
+            return []
+        return self._begin(now)
+
+    def _begin(self, now: Millis) -> list[Effect]:
+        self.count += 1
+        self.author = (
+            f'{self.settings.node}/{self.settings.incarnation}/{self.count}'
+        )
+        self.lease_until = None
+        lease = GrantLease(self._lease_name(), OWNER_LEASE_MS)
+        return self._move(Phase.leasing, lease, now)
+
+    def _leased(self, now: Millis) -> list[Effect]:
+        self._note_lease(self.step.sent_at)
+        entry = OwnerEntry(self.settings.node, self.author)
+        write = CompareAndSwap(
+            owner_key(self.partition), 0, encode(entry), self._lease_name()
+        )
+        return self._move(Phase.owning, write, now)
+
+    def _note_lease(self, sent_at: Millis) -> None:
+        self.lease_until = later(sent_at, OWNER_LEASE_MS * LEASE_USE)
+        self.renew_at = later(sent_at, RENEW_MS)
+
+    def _lease_name(self) -> str:
+        return f'claims/lease/{self.partition}/{self.author}'
+
+    def _begin_period(self, now: Millis) -> list[Effect]:
+        self.count += 1
+        self.period_lease = (
+            f'claims/period/{self.partition}/{self.author}/{self.count}'
+        )
+        lease = GrantLease(self.period_lease, PERIOD_LEASE_MS)
+        return self._move(Phase.period, lease, now)
+
+    def _period_begun(self, now: Millis) -> list[Effect]:
+        self.period_since = self.step.sent_at
+        if self.ready:
+            return self._seal(now)
+        return self._move(Phase.head, Get(head_key(self.partition)), now)
+
+    def _read_head(self, answer: StoreAnswer, now: Millis) -> list[Effect]:
+        self.head_revision = answer.revision
+        partitions = len(self.settings.domains)
+        head = Head('', partitions, 0)
+        if answer.revision and answer.body is not None:
+            head = decode_head(answer.body)
+        if head.partitions != partitions:
+            return self._step_down(now, 'number of partitions differs')
+        return self._read_from(head, now)
+
+    def _read_from(self, head: Head, now: Millis) -> list[Effect]:
+        self.phase = Phase.reading
+        self.count += 1
+        prefix = f'claims/{self.partition}/read/{self.count}'
+        self.reader = LogReader(self.partition, prefix, head)
+        return self._read_on(now)
+
+    def _read_on(self, now: Millis) -> list[Effect]:
+        reader = self.reader
+        if reader is None:
+            return []
+        for found in reader.drain():
+            self._load(found, now)
+        if not reader.finished:
+            return reader.advance()
+        self.sequence = reader.sequence
+        self.reader = None
+        return self._seal(now)
+
+    def _load(self, found: Found, now: Millis) -> None:
+        record = decode_record(found.body)
+        table = self.ledger.table
+        if found.age_ms is None or record.summary is None:
+            table.replay(record, now)
+        else:
+            since = later(now, -found.age_ms)
+            table.restore(found.sequence, since, record.summary, now)
+
+    def _seal(self, now: Millis) -> list[Effect]:
+        self.phase = Phase.sealing
+        summary = self.ledger.table.summarise()
+        return self._append(LogRecord(self.author, summary=summary), now)
+
+    def _sealed(self, now: Millis) -> list[Effect]:
+        table = self.ledger.table
+        table.close_generation(self.sequence, now)
+        self.sequence += 1
+        head = Head(
+            self.author,
+            len(self.settings.domains),
+            self.sequence,
+            tuple(
+                (generation.sequence, now - generation.since)
+                for generation in table.generations
+            ),
+        )
+        write = CompareAndSwap(
+            head_key(self.partition), self.head_revision, encode(head)
+        )
+        return self._move(Phase.heading, write, now)
+
+    def _start_serving(self, answer: StoreAnswer, now: Millis) -> list[Effect]:
+        self.head_revision = answer.revision
+        self.records = 0
+        self.phase = Phase.serving
+        effects: list[Effect] = []
+        if not self.ready:
+            self.ready = True
+            self.owner = self.settings.node
+            effects.append(self._record('owner is serving'))
+        return effects + self.flush(now)
+
+    def _append(self, record: LogRecord, now: Millis) -> list[Effect]:
+        self.next_append = later(now, APPEND_INTERVAL_MS)
+        key = log_key(self.partition, self.sequence)
+        write = CompareAndSwap(key, 0, encode(record), self.period_lease)
+        return self.step.start(write, now)
+
+    def _appended(self, now: Millis) -> list[Effect]:
+        self.sequence += 1
+        self.records += 1
+        return self.ledger.confirm() + self.flush(now)
+
+    def _step_down(self, now: Millis, reason: str) -> list[Effect]:
+        effects = [self._record(reason), *self.ledger.abort()]
+        if self.lease_until is not None and self.lease_until > now:
+            tag = f'claims/{self.partition}/revoke/{self.count}'
+            revoke = RevokeLease(self._lease_name())
+            effects.append(StoreRequest(Role.claim, tag, revoke))
+        self.step.cancel()
+        self.renewal.cancel()
+        self.reader = None
+        self.phase = Phase.idle
+        self.owner = NodeId('')
+        self.poll_at = later(now, self.random.uniform(0, POLL_MS))
+        self.absent_since = None
+        self.displaced_since = None
+        self.lease_until = None
+        self.ready = False
+        self.resigning = False
+        self.ledger = self._new_ledger()
+        return effects
+
+    def _move(
+        self, phase: Phase, operation: Operation, now: Millis
+    ) -> list[Effect]:
+        self.phase = phase
+        return self.step.start(operation, now)
+
+    def _record(self, change: str) -> Effect:
+        fields = {
+            'partition': self.partition,
+            'change': change,
+            'claims': len(self.ledger.table),
+        }
+        return RecordEvent(EventKind.claim_changed, fields)
+
+    def _new_ledger(self) -> ClaimLedger:
+        return ClaimLedger(self.partition, len(self.settings.domains))
+
+    def _is_period_over(self, now: Millis) -> bool:
+        return (
+            now - self.period_since >= PERIOD_MS
+            or self.records >= RECORDS_PER_PERIOD
+            or len(self.ledger.table.recent) >= CLAIMS_PER_PERIOD
+        )
--- /dev/null
+++ b/src/jasmineramp/claim_settings.py
@@ -0,0 +1,53 @@
+"""Hold the settings, limits and phases of claim owners."""
+
+import enum
+
+import msgspec
+
+from jasmineramp.claim_table import HOUR_MS
+from jasmineramp.ids import DomainId, NodeId
+
+OWNER_LEASE_MS = 6000.0
+RENEW_MS = 2000.0
+# The lease counts from the sending of its last renewal, less clock drift.
+LEASE_USE = 0.99
+POLL_MS = 1000.0
+# A domain that is not the partition's own leaves it this long to return.
+SECOND_DOMAIN_WAIT_MS = 3000.0
+HAND_BACK_MS = 30_000.0
+# Ten writes a second less the renewals of the lease, with a margin.
+APPEND_INTERVAL_MS = 106.0
+# The log keys of a period share one lease, so the store deletes them.
+PERIOD_LEASE_MS = 26 * HOUR_MS
+PERIOD_MS = HOUR_MS
+LONGEST_PERIOD_MS = 2 * HOUR_MS
+RECORDS_PER_PERIOD = 2000
+CLAIMS_PER_PERIOD = 40_000
+FAILURES_UNTIL_UNAVAILABLE = 2
+
+
+class ClaimSettings(msgspec.Struct, frozen=True):
+    """Describe the node and the partitions, one per failure domain.
+
+    The domains and their order must be the same on all nodes.
+    """
+
+    node: NodeId
+    incarnation: int
+    domain: DomainId
+    domains: tuple[DomainId, ...]
+
+
+class Phase(enum.Enum):
+    """Name the steps of an owner, in order."""
+
+    idle = 'idle'
+    polling = 'polling'
+    leasing = 'leasing'
+    owning = 'owning'
+    period = 'period'
+    head = 'head'
+    reading = 'reading'
+    sealing = 'sealing'
+    heading = 'heading'
+    serving = 'serving'
--- /dev/null
+++ b/tests/fakes/claims.py
@@ -0,0 +1,263 @@
+"""Run several claim nodes over a fake network and the fake store."""
+
+import collections
+import heapq
+import itertools
+import random
+from typing import Any
+
+import msgspec
+
+from jasmineramp import idempotency
+from jasmineramp.claim_log import digest_body
+from jasmineramp.claim_messages import ClaimDecided, ClaimEnd, ClaimVerdict
+from jasmineramp.claim_settings import ClaimSettings
+from jasmineramp.clock import ManualClock
+from jasmineramp.effects import Effect, SendMessage
+from jasmineramp.ids import (
+    CallId,
+    DomainId,
+    IdempotencyKey,
+    NodeId,
+    WorkspaceId,
+)
+from jasmineramp.store_messages import (
+    Get,
+    Operation,
+    Outcome,
+    StoreAnswer,
+    StoreAnswered,
+    StoreRequest,
+)
+from tests.fakes.store import FakeStore
+
+TICK_MS = 50.0
+STORE_TIMEOUT_MS = 2000.0
+WORKSPACE = WorkspaceId('studio')
+DOMAINS = (DomainId('a'), DomainId('b'))
+
+
+class Network(msgspec.Struct):
+    """Hold the faults of the network and of the way to the store."""
+
+    loss: float = 0
+    duplicates: float = 0
+    delay_ms: float = 1
+    store_delay_ms: float = 2
+    late_writes: int = 0
+    cut: set[NodeId] = msgspec.field(default_factory=set)
+
+
+class Node:
+    """Hold one process; a new process on the node replaces the object."""
+
+    def __init__(self, settings: ClaimSettings, seed: int) -> None:
+        self.state = idempotency.ClaimState(settings, seed)
+        self.paused = False
+        self.backlog: list[Any] = []
+
+
+class ClaimFleet:
+    """Drive the nodes and keep the history of what ran."""
+
+    def __init__(
+        self, nodes: int = 3, seed: int = 1, domains: Any = DOMAINS
+    ) -> None:
+        self.clock = ManualClock()
+        self.store = FakeStore(self.clock)
+        self.random = random.Random(seed)
+        self.network = Network()
+        self.domains = domains
+        self.order = itertools.count()
+        self.queue: list[Any] = []
+        self.places = {
+            NodeId(f'n{index}'): domains[index % len(domains)]
+            for index in range(nodes)
+        }
+        self.incarnations: collections.Counter[NodeId] = collections.Counter()
+        self.nodes: dict[NodeId, Node] = {}
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.released: collections.Counter[str] = collections.Counter()
+        self.calls: dict[CallId, tuple[str, ClaimEnd, float]] = {}
+        self.decided: dict[CallId, ClaimDecided] = {}
+        self.decided_at: dict[CallId, float] = {}
+        self.recorded: list[Effect] = []
+        for node in self.places:
+            self.start(node)
+        self.update_views()
+
+    def start(self, node: NodeId) -> None:
+        self.incarnations[node] += 1
+        settings = ClaimSettings(
+            node, self.incarnations[node], self.places[node], self.domains
+        )
+        self.nodes[node] = Node(settings, self.random.randrange(2**32))
+
+    def crash(self, node: NodeId) -> None:
+        self.nodes.pop(node, None)
+
+    def update_views(self) -> None:
+        alive = {node: self.places[node] for node in self.nodes}
+        for process in self.nodes.values():
+            idempotency.set_members(process.state, alive, self.clock.now())
+
+    def call(
+        self,
+        node: NodeId,
+        key: str,
+        end: ClaimEnd = ClaimEnd.done,
+        duration: float = 100,
+        deadline: float = 2000,
+        body: bytes = b'order',
+    ) -> CallId:
+        call_id = CallId(f'c{next(self.order)}')
+        self.calls[call_id] = (key, end, duration)
+        call = idempotency.ClaimCall(
+            call_id, WORKSPACE, IdempotencyKey(key), digest_body(body), deadline
+        )
+        self.post(0, node, self.nodes[node], ('claim', call))
+        self.run_due()
+        return call_id
+
+    def post(
+        self, delay: float, node: NodeId, process: Node | None, item: Any
+    ) -> None:
+        """Queue an event; one for a given process dies with it."""
+        due = self.clock.now() + delay
+        heapq.heappush(self.queue, (due, next(self.order), node, process, item))
+
+    def advance(self, duration: float, tick: float = TICK_MS) -> None:
+        end = self.clock.now() + duration
+        while self.clock.now() < end:
+            for node, process in list(self.nodes.items()):
+                self.handle(node, process, ('tick',))
+            self.run_due(min(end, self.clock.now() + tick))
+
+    def run_due(self, until: float | None = None) -> None:
+        """Run the queued events up to a time and move the clock there."""
+        limit = self.clock.now() if until is None else until
+        while self.queue and self.queue[0][0] <= limit:
+            due, _, node, process, item = heapq.heappop(self.queue)
+            self.clock.advance(max(due - self.clock.now(), 0))
+            if item[0] == 'store':
+                self.run_store(node, process, item[1], item[2])
+                continue
+            current = self.nodes.get(node)
+            if current is not None and process in {None, current}:
+                self.handle(node, current, item)
+        self.clock.advance(max(limit - self.clock.now(), 0))
+
+    def handle(self, node: NodeId, process: Node, item: Any) -> None:
+        if process.paused:
+            if item[0] != 'tick':
+                process.backlog.append(item)
+            return
+        now = self.clock.now()
+        state = process.state
+        match item:
+            case ('tick',):
+                effects = idempotency.tick(state, now)
+            case ('claim', call):
+                effects = idempotency.claim(state, call, now)
+            case ('message', sender, message):
+                effects = idempotency.receive(state, sender, message, now)
+            case ('answer', event):
+                effects = idempotency.answered(state, event, now)
+            case ('finish', call_id, end):
+                effects = idempotency.finish(
+                    state, call_id, end, now, status=201, response=b'response'
+                )
+        self.perform(node, process, effects)
+
+    def resume(self, node: NodeId) -> None:
+        process = self.nodes[node]
+        process.paused = False
+        backlog, process.backlog = process.backlog, []
+        for item in backlog:
+            self.handle(node, process, item)
+
+    def perform(self, node: NodeId, process: Node, effects: Any) -> None:
+        for effect in effects:
+            match effect:
+                case SendMessage():
+                    self.send(node, effect)
+                case StoreRequest():
+                    delay = self.random.uniform(0, self.network.store_delay_ms)
+                    self.post(delay, node, process, ('store', effect, False))
+                case ClaimDecided():
+                    self.decide(node, process, effect)
+                case _:
+                    self.recorded.append(effect)
+
+    def send(self, sender: NodeId, effect: SendMessage) -> None:
+        network = self.network
+        if {sender, effect.node} & network.cut:
+            return
+        copies = 1 + (self.random.random() < network.duplicates)
+        for _ in range(copies):
+            if self.random.random() >= network.loss:
+                delay = self.random.uniform(0, network.delay_ms)
+                item = ('message', sender, effect.message)
+                self.post(delay, effect.node, None, item)
+
+    def run_store(
+        self, node: NodeId, process: Node, request: StoreRequest, late: bool
+    ) -> None:
+        operation = request.operation
+        if late:
+            self.store.run(operation)
+            return
+        if self.network.late_writes and not isinstance(operation, Get):
+            # The answer is lost and the write arrives after the timeout.
+            self.network.late_writes -= 1
+            self.post(
+                2 * STORE_TIMEOUT_MS, node, process, ('store', request, True)
+            )
+            self.reply(node, process, request, StoreAnswer(Outcome.unknown))
+            return
+        self.reply(node, process, request, self.run_operation(operation))
+
+    def run_operation(self, operation: Operation) -> StoreAnswer:
+        return self.store.run(operation)
+
+    def reply(
+        self,
+        node: NodeId,
+        process: Node,
+        request: StoreRequest,
+        answer: StoreAnswer,
+    ) -> None:
+        event = StoreAnswered(
+            request.role, request.tag, request.operation, answer
+        )
+        delay = self.random.uniform(0, self.network.store_delay_ms)
+        if answer.outcome is Outcome.unknown:
+            delay += STORE_TIMEOUT_MS
+        self.post(delay, node, process, ('answer', event))
+
+    def decide(
+        self, node: NodeId, process: Node, decided: ClaimDecided
+    ) -> None:
+        assert decided.call_id not in self.decided, 'decided twice'
+        self.decided[decided.call_id] = decided
+        self.decided_at[decided.call_id] = self.clock.now()
+        if decided.verdict is ClaimVerdict.granted:
+            key, end, duration = self.calls[decided.call_id]
+            counter = (
+                self.runs if end is not ClaimEnd.not_run else self.released
+            )
+            counter[key] += 1
+            item = ('finish', decided.call_id, end)
+            self.post(duration, node, process, item)
+
+    def verdict(self, call_id: CallId) -> ClaimVerdict | None:
+        decided = self.decided.get(call_id)
+        return decided.verdict if decided else None
+
+    def owner(self) -> NodeId:
+        """Return a node that serves the first partition."""
+        return next(
+            node
+            for node, process in self.nodes.items()
+            if process.state.owners[0].ready
+        )
