--- a/src/jasmineramp/table.py
+++ b/src/jasmineramp/table.py
@@ -104,7 +104,7 @@
     """Raise TableError for the first cell that can't be used."""
     _check_unique('calls', [row.name for row in table.calls])
     _check_unique('workspaces', [row.name for row in table.workspaces])
-    _check_unique('keys', [row.digest for row in table.keys])
+    _check_keys_unique(table.keys)
     _check_unique(
         'calls',
         [f'{row.method} {row.path}' for row in table.calls],
@@ -127,6 +127,13 @@
         )
 
 
+def shown_digest(digest: str) -> str:
+    """Return a short form of a digest that can't reveal a plain key."""
+    if len(digest) == DIGEST_LENGTH and _is_hex(digest):
+        return digest[:8]
+    return f'<{len(digest)} characters, not a digest>'
+
+
 def _matches_path(prefix: str, path: str) -> bool:
     if prefix in {path, '/'}:
         return True
@@ -151,16 +158,31 @@
         seen.add(name)
 
 
+def _check_keys_unique(rows: Iterable[KeyRow]) -> None:
+    seen: set[KeyDigest] = set()
+    for row in rows:
+        if row.digest in seen:
+            raise TableError(
+                f'keys/{shown_digest(row.digest)}',
+                'digest',
+                shown_digest(row.digest),
+                'stands in two rows',
+                'delete one of them',
+            )
+        seen.add(row.digest)
+
+
 def _check_call(row: CallRow) -> None:
     place = f'calls/{row.name}'
     _check_name(place, row.name)
     _check_name(place, row.service, 'service')
-    if not row.path.startswith('/'):
+    _check_name(place, row.method, 'method')
+    if not row.path.startswith('/') or ' ' in row.path:
         raise TableError(
             place,
             'path',
             row.path,
-            'does not start with /',
+            'does not start with / or holds a space',
             'write the path prefix, for example /orders',
         )
     if not LEAST_IMPORTANCE <= row.importance <= MOST_IMPORTANCE:
@@ -198,23 +220,24 @@
     _check_name(place, row.name)
     _check_rate(place, row.rate, row.burst)
     _check_positive(place, 'weight', row.weight)
-    if row.offline_grace_ms is not None and row.offline_grace_ms < 0:
+    grace = row.offline_grace_ms
+    if grace is not None and not (math.isfinite(grace) and grace >= 0):
         raise TableError(
             place,
             'offline_grace_ms',
-            row.offline_grace_ms,
-            'is negative',
+            grace,
+            'is negative or not a number',
             'use 0 to refuse at once or leave it empty to serve',
         )
 
 
 def _check_key(row: KeyRow, workspaces: set[WorkspaceId]) -> None:
-    place = f'keys/{row.digest[:8]}'
+    place = f'keys/{shown_digest(row.digest)}'
     if len(row.digest) != DIGEST_LENGTH or not _is_hex(row.digest):
         raise TableError(
             place,
             'digest',
-            row.digest[:8],
+            shown_digest(row.digest),
             'is not a SHA-256 digest in hex',
             'grant keys with jasmineramp-table grant',
         )
