Spread the table between nodes and gather acknowledgements

Two watchers per failure domain read the platform; offers, requests and copies carry the table along a tree and periodic offers repair it. The collector of a failure domain reports what every alive member had in force. Each node keeps the rates of every revision since the accepted one, because a node that skipped a revision could otherwise use a larger share than the accepted revision allows.

--- /dev/null
+++ b/src/jasmineramp/configuration.py
@@ -0,0 +1,366 @@
+"""Keep the newest table in force on a node and spread it.
+
+A table comes from a platform watch of the two members with the lowest ids
+or from other nodes: an offer of a revision, a request, a copy. Each change
+travels along a tree over the sorted members; periodic offers to a random
+member repair what lost messages or different views leave out.
+"""
+
+from functools import singledispatch
+
+from jasmineramp import acknowledgements
+from jasmineramp.clock import Millis, later
+from jasmineramp.configuration_messages import (
+    Acknowledgement,
+    Copy,
+    CopyRequest,
+    DomainAcknowledgement,
+    Offer,
+)
+from jasmineramp.configuration_state import (
+    WATCHERS,
+    ConfigurationState,
+    Members,
+    accepted_rates,
+    drop_rates,
+    due,
+    is_watcher,
+    keep_rates,
+    lacks,
+    make_offer,
+    neighbours,
+    note_contact,
+    spend_copy,
+)
+from jasmineramp.configuration_watch import end_watch, watch
+from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
+from jasmineramp.exceptions import TableError
+from jasmineramp.ids import NodeId, Revision
+from jasmineramp.messages import Message
+from jasmineramp.store_messages import Role, StoreAnswered
+from jasmineramp.table_files import decode_table, encode_table
+
+OFFER_INTERVAL_MS = 1_000
+REQUEST_TIMEOUT_MS = 250
+ACKNOWLEDGE_INTERVAL_MS = 1_000
+# A collector that restarted under its id has lost the acknowledgements.
+ACKNOWLEDGE_AGAIN_MS = 5_000
+
+
+def adopt(
+    state: ConfigurationState,
+    revision: Revision,
+    body: bytes,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    """Put a revision in force if it is newer than the one in force."""
+    if revision <= state.revision or revision in state.rejected:
+        return []
+    try:
+        table = decode_table(body)
+    except TableError as error:
+        state.rejected.add(revision)
+        fields = {'revision': revision, 'error': str(error)}
+        return [RecordEvent(EventKind.configuration_rejected, fields)]
+    keep_rates(state, revision, table)
+    state.revision = revision
+    state.table = table
+    state.body = body
+    return [
+        RecordEvent(EventKind.configuration_in_force, {'revision': revision}),
+        *_offer_to_neighbours(state, members, now),
+        *_acknowledge(state, members, now),
+    ]
+
+
+def tick(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    """Return what is due: watch, offers, requests, acknowledgements."""
+    effects: list[Effect] = []
+    if state.has_platform and is_watcher(state, members):
+        effects += watch(state, now)
+    if state.requested_until is not None and now >= state.requested_until:
+        state.requested_until = None
+        state.next_offer = now
+    if state.offerers and state.requested_until is None:
+        effects += _request_copy(state, now)
+    if now >= state.next_offer:
+        effects += _offer_periodically(state, members, now)
+    if _needs_acknowledgement(state, members, now):
+        effects += _acknowledge(state, members, now)
+    if members.alive[0] == state.node:
+        effects += _collect(state, members, now)
+    return effects
+
+
+def receive(
+    state: ConfigurationState,
+    sender: NodeId,
+    message: Message,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    """React to a message of this policy; others change nothing."""
+    return _receive(message, state, sender, members, now)
+
+
+def answered(
+    state: ConfigurationState,
+    event: StoreAnswered,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    """React to the answer to a store request of this policy."""
+    if event.role is Role.acknowledgement:
+        acknowledgements.records_answered(state.acknowledgements, event, now)
+        return []
+    if event.role is not Role.configuration or state.watch_sent is None:
+        return []
+    end_watch(state, event.answer, state.watch_sent, now)
+    body = event.answer.body
+    revision = Revision(event.answer.revision)
+    return [] if body is None else adopt(state, revision, body, members, now)
+
+
+@singledispatch
+def _receive(
+    message: Message,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    return []
+
+
+@_receive.register
+def _receive_offer(
+    message: Offer,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    # An echo counts only if it answers the last question of this process.
+    asked = state.asked_at
+    age = message.contact_age
+    if asked is not None and message.echo == asked and age is not None:
+        note_contact(state, later(asked, -age))
+    effects: list[Effect] = []
+    if lacks(state, message.revision, message.accepted):
+        state.offerers[sender] = message.revision
+        if state.requested_until is None:
+            effects += _request_copy(state, now)
+    else:
+        effects += _accept(state, message.accepted, members, now)
+    is_behind = (message.revision, message.accepted) < (
+        state.revision,
+        state.accepted,
+    )
+    if is_behind or message.sent_at is not None:
+        offer = make_offer(state, now, echo=message.sent_at)
+        effects.append(SendMessage(sender, offer))
+    return effects
+
+
+@_receive.register
+def _receive_request(
+    message: CopyRequest,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    if not spend_copy(state, message, now):
+        return []
+    body = state.body if message.revision < state.revision else b''
+    rates = accepted_rates(state)
+    if body and state.accepted == state.revision:
+        rates = None
+    if rates is None or message.accepted >= state.accepted:
+        copy = Copy(state.revision, body, state.accepted, b'')
+    else:
+        copy = Copy(state.revision, body, state.accepted, encode_table(rates))
+    return [SendMessage(sender, copy)]
+
+
+@_receive.register
+def _receive_copy(
+    message: Copy,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    state.requested_until = None
+    effects = adopt(state, message.revision, message.body, members, now)
+    if message.accepted_body and message.accepted > state.accepted:
+        try:
+            keep_rates(
+                state,
+                message.accepted,
+                decode_table(message.accepted_body),
+            )
+        except TableError as error:
+            fields = {'revision': message.accepted, 'error': str(error)}
+            effects.append(
+                RecordEvent(EventKind.configuration_rejected, fields),
+            )
+    state.offerers = {
+        node: revision
+        for node, revision in state.offerers.items()
+        if lacks(state, revision, state.accepted)
+    }
+    return effects + _accept(state, message.accepted, members, now)
+
+
+@_receive.register
+def _receive_acknowledgement(
+    message: Acknowledgement,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    acknowledgements.gather(state.acknowledgements, sender, message.revisions)
+    return []
+
+
+@_receive.register
+def _receive_report(
+    message: DomainAcknowledgement,
+    state: ConfigurationState,
+    sender: NodeId,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    acknowledgements.gather_domain(state.acknowledgements, message)
+    collector = members.alive[0]
+    if collector == state.node or sender in members.alive:
+        return []
+    return [SendMessage(collector, message)]
+
+
+def _offer_to_neighbours(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    offer = make_offer(state, now)
+    return [SendMessage(node, offer) for node in neighbours(state, members)]
+
+
+def _offer_periodically(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    state.next_offer = due(state, now, OFFER_INTERVAL_MS)
+    state.asked_at = now
+    receivers: set[NodeId] = set()
+    if is_watcher(state, members):
+        receivers.update(members.contacts.values())
+        pool = members.alive
+    else:
+        # Half of the questions go to a watcher, whose contact is youngest.
+        watchers = members.alive[:WATCHERS]
+        pool = state.random.choice((watchers, members.alive))
+    receivers.add(state.random.choice(pool))
+    receivers.discard(state.node)
+    offer = make_offer(state, now, asks=True)
+    return [SendMessage(node, offer) for node in sorted(receivers)]
+
+
+def _request_copy(state: ConfigurationState, now: Millis) -> list[Effect]:
+    newest = max(state.offerers.values())
+    node = state.random.choice(
+        [node for node, held in state.offerers.items() if held == newest],
+    )
+    # The next timeout asks another node.
+    state.offerers.pop(node)
+    state.requested_until = later(now, REQUEST_TIMEOUT_MS)
+    return [SendMessage(node, CopyRequest(state.revision, state.accepted))]
+
+
+def _accept(
+    state: ConfigurationState,
+    accepted: Revision,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    if accepted <= state.accepted or accepted not in state.rate_tables:
+        return []
+    state.accepted = accepted
+    drop_rates(state)
+    return [
+        RecordEvent(EventKind.configuration_accepted, {'revision': accepted}),
+        *_offer_to_neighbours(state, members, now),
+    ]
+
+
+def _needs_acknowledgement(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> bool:
+    current = (members.alive[0], state.revision)
+    return state.acknowledged != current or now >= state.next_acknowledgement
+
+
+def _acknowledge(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    collector = members.alive[0]
+    pending = state.accepted < state.revision
+    interval = ACKNOWLEDGE_INTERVAL_MS if pending else ACKNOWLEDGE_AGAIN_MS
+    state.next_acknowledgement = due(state, now, interval)
+    state.acknowledged = (collector, state.revision)
+    revisions = tuple(state.rate_tables)
+    if collector == state.node:
+        acknowledgements.gather(
+            state.acknowledgements,
+            state.node,
+            revisions,
+        )
+        return []
+    return [SendMessage(collector, Acknowledgement(revisions))]
+
+
+def _collect(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
+    gathered = state.acknowledgements
+    before = gathered.by_domain.get(gathered.domain)
+    report = acknowledgements.summarize(
+        gathered,
+        members.alive,
+        members.contacts,
+    )
+    effects: list[Effect] = []
+    if report != before or now >= state.next_report:
+        pending = state.accepted < state.revision
+        interval = ACKNOWLEDGE_INTERVAL_MS if pending else ACKNOWLEDGE_AGAIN_MS
+        state.next_report = due(state, now, interval)
+        effects += [
+            SendMessage(node, report)
+            for _, node in sorted(members.contacts.items())
+        ]
+    accepted = acknowledgements.accepted_revision(gathered)
+    effects += _accept(state, accepted, members, now)
+    if not state.has_platform:
+        return effects
+    return effects + acknowledgements.write_records(
+        gathered,
+        state.node,
+        members.alive,
+        state.revision,
+        now,
+    )
--- a/src/jasmineramp/effects.py
+++ b/src/jasmineramp/effects.py
@@ -29,6 +29,8 @@
     loan_changed = 'loan_changed'
     slot_changed = 'slot_changed'
     configuration_in_force = 'configuration_in_force'
+    configuration_rejected = 'configuration_rejected'
+    configuration_accepted = 'configuration_accepted'
     member_changed = 'member_changed'
     upstream_changed = 'upstream_changed'
     store_changed = 'store_changed'
