Test late copies, joins during an edit and lost reports

Mutation trials on a scratch copy had passed without the guard against older copies, the copy of accepted rates, the repeated report of a failure domain and the delay of partial records. Each now fails a test.

--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -8,6 +8,7 @@
 from jasmineramp.configuration_state import ConfigurationState, make_members
 from jasmineramp.effects import Effect, SendMessage
 from jasmineramp.ids import DomainId, NodeId, WorkspaceId
+from jasmineramp.messages import Message
 from jasmineramp.store_messages import (
     CompareAndSwap,
     Operation,
@@ -80,6 +81,7 @@
         self.dead: set[NodeId] = set()
         self.cut_off: set[DomainId] = set()
         self.queue: list[tuple[NodeId, SendMessage]] = []
+        self.past: list[tuple[NodeId, SendMessage]] = []
         self.started = 0
         for node in self.nodes:
             self.restart(node)
@@ -90,6 +92,7 @@
             node, self.nodes[node], self.started, self.domains
         )
         self.queue = [item for item in self.queue if item[1].node != node]
+        self.past = [item for item in self.past if item[1].node != node]
 
     def members(self, node: NodeId):
         alive = [
@@ -132,7 +135,7 @@
     def deliver(self, index: int, *, keep: bool = False) -> None:
         sender, effect = self.queue[index]
         if not keep:
-            del self.queue[index]
+            self.past.append(self.queue.pop(index))
         ends = {self.nodes[sender], self.nodes[effect.node]}
         if effect.node in self.dead or (len(ends) > 1 and ends & self.cut_off):
             return
@@ -147,6 +150,16 @@
             ),
         )
 
+    def repeat(self, index: int) -> None:
+        """Deliver a message again that this process already had."""
+        self.queue.insert(0, self.past[index])
+        self.deliver(0)
+
+    def lose(self, kind: type[Message]) -> None:
+        self.queue = [
+            item for item in self.queue if not isinstance(item[1].message, kind)
+        ]
+
     def deliver_all(self) -> None:
         while self.queue:
             self.deliver(0)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -17,9 +17,11 @@
 from jasmineramp.clock import Millis
 from jasmineramp.configuration_messages import (
     TABLE_KEY,
+    Acknowledgement,
     AcknowledgementRecord,
     Copy,
     CopyRequest,
+    DomainAcknowledgement,
     Offer,
     acknowledgement_key,
 )
@@ -70,6 +72,11 @@
                 self.fleet.deliver(pick % size, keep=keep)
                 self.check()
 
+    @precondition(lambda self: self.fleet.past)
+    @rule(pick=INDEX)
+    def repeat(self, pick: int) -> None:
+        self.fleet.repeat(pick % len(self.fleet.past))
+
     @rule()
     def deliver_all(self) -> None:
         self.fleet.deliver_all()
@@ -166,6 +173,41 @@
         fleet.settle(8000)
         self.assertEqual(fleet.accepted(), {second})
 
+    def test_a_node_that_joins_during_an_edit_gets_the_accepted_rates(
+        self,
+    ) -> None:
+        fleet = Fleet((3, 3))
+        first = fleet.edit(1)
+        fleet.settle(2000)
+        fleet.cut_off = {fleet.domains[1]}
+        fleet.edit(2)
+        fleet.settle(1000)
+        fleet.restart('d0-2')
+        fleet.settle(3000)
+        state = fleet.states['d0-2']
+        self.assertEqual(state.accepted, first)
+        self.assertEqual(accepted_rates(state).workspaces[0].rate, 1)
+
+    def test_lost_reports_of_a_failure_domain_are_repeated(self) -> None:
+        fleet = Fleet((2, 2))
+        revision = fleet.edit(1)
+        for _ in range(40):
+            fleet.tick(50)
+            fleet.lose(DomainAcknowledgement)
+            fleet.deliver_all()
+        self.assertEqual(fleet.accepted(), {0})
+        fleet.settle(8000)
+        self.assertEqual(fleet.accepted(), {revision})
+
+    def test_acknowledges_every_revision_since_the_accepted_one(self) -> None:
+        members = make_members('b', ('a',), {})
+        state = ConfigurationState('b', 'd', 1)
+        for revision in (1, 2):
+            effects = configuration.adopt(
+                state, revision, make_body(revision), members, Millis(0)
+            )
+        self.assertIn(SendMessage('a', Acknowledgement((1, 2))), effects)
+
     def test_record_names_the_nodes_that_hang(self) -> None:
         fleet = Fleet((3,))
         fleet.states.pop('d0-2')
@@ -195,11 +237,14 @@
 
     def test_writes_of_records_are_bounded(self) -> None:
         fleet = Fleet((3, 3))
+        fleet.edit(1)
+        fleet.settle(3000)
+        key = acknowledgement_key('d0')
+        self.assertEqual(fleet.store.writes[key], 1)
         for rate in range(1, 101):
             fleet.edit(rate)
             fleet.settle(100)
-        key = acknowledgement_key('d0')
-        self.assertLessEqual(fleet.store.writes[key], 11)
+        self.assertLessEqual(fleet.store.writes[key], 12)
         self.assertLessEqual(fleet.store.writes['domains'], 1)
 
     def test_a_hundred_requests_at_once_stay_within_the_byte_budget(
@@ -237,15 +282,24 @@
         ]
         self.assertEqual(receivers, ['b', 'c'])
 
+    def test_a_late_copy_of_an_older_table_changes_nothing(self) -> None:
+        members = make_members('a', ('b',), {})
+        state = ConfigurationState('a', 'd', 1)
+        for revision in (3, 2):
+            copy = Copy(revision, make_body(revision), 0, b'')
+            configuration.receive(state, 'b', copy, members, Millis(0))
+        self.assertEqual(state.revision, 3)
+
     def test_a_damaged_table_leaves_the_old_one_in_force(self) -> None:
         fleet = Fleet((1,))
         revision = fleet.edit(1)
         fleet.settle(500)
         state, members = fleet.states['d0-0'], fleet.members('d0-0')
-        copy = Copy(9, b'{"calls": 1}', 0, b'')
+        copy = Copy(9, b'{"calls": 1}', 9, b'')
         effects = configuration.receive(state, 'x', copy, members, fleet.now)
         self.assertIsInstance(effects[0], RecordEvent)
         self.assertEqual(state.revision, revision)
+        self.assertEqual(state.accepted, revision)
         again = configuration.receive(
             state, 'x', Offer(9, 0), members, fleet.now
         )
