--- /dev/null
+++ b/src/jasmineramp/call_attempts.py
@@ -0,0 +1,191 @@
+"""End attempts of calls, and retry them within the ledger."""
+
+from jasmineramp import hops, idempotency, retries, routing
+from jasmineramp.call_endings import close, finish_claim, refuse
+from jasmineramp.call_messages import (
+    Attempt,
+    AttemptEnded,
+    AttemptKind,
+    CancelCall,
+    Decide,
+    Deliver,
+    RetryLater,
+)
+from jasmineramp.calls import charge, refuse_repeat, route, take_rate
+from jasmineramp.clock import Millis
+from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
+from jasmineramp.ids import CallId
+from jasmineramp.refusals import Refusal, RefusalCode, RunState
+from jasmineramp.retries import FailedCall, Retry, RetryAfter
+from jasmineramp.state import EntryCall, NodeState
+
+_OUTCOMES = {
+    AttemptKind.answered: routing.CallOutcome.succeeded,
+    AttemptKind.shed: routing.CallOutcome.shed,
+    AttemptKind.refused: routing.CallOutcome.shed,
+    AttemptKind.cancelled: routing.CallOutcome.cancelled,
+}
+_FAILURES = {
+    AttemptKind.shed: Refusal(RefusalCode.overloaded, RunState.unknown),
+    AttemptKind.unreachable: Refusal(RefusalCode.upstream_lost),
+    AttemptKind.lost: Refusal(RefusalCode.upstream_lost, RunState.unknown),
+    AttemptKind.timed_out: Refusal(
+        RefusalCode.deadline_exceeded,
+        RunState.unknown,
+    ),
+    AttemptKind.cancelled: Refusal(RefusalCode.cancelled, RunState.unknown),
+}
+
+
+def end_attempt(
+    state: NodeState,
+    event: AttemptEnded,
+    now: Millis,
+) -> list[Effect]:
+    """Deliver the answer of an attempt, retry it or refuse the call."""
+    call = state.calls.get(event.call_id)
+    if call is None or call.instance is None:
+        return []
+    attempt = event.attempt
+    effects: list[Effect] = []
+    if call.instance.node == state.node:
+        effects += hops.finish(state, call.attempt_id, attempt, now)
+    _observe(state, call, attempt, now)
+    if attempt.kind is AttemptKind.answered:
+        close(state, call)
+        effects += finish_claim(state, call, attempt, now)
+        return effects
+    return effects + _plan_retry(state, call, attempt, now)
+
+
+def decide_retry(
+    state: NodeState,
+    retry: Retry,
+    now: Millis,
+    *,
+    granted: bool,
+) -> list[Effect]:
+    """Go on with a call whose retry was granted or denied."""
+    call = state.calls.get(state.charges.pop(retry, CallId('')))
+    if call is None:
+        return []
+    return _continue(state, call, now, granted=granted)
+
+
+def retry(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
+    """Start the next attempt of a call after its delay."""
+    call = state.calls.get(call_id)
+    return [] if call is None else route(state, call, now)
+
+
+def leave(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
+    """Give up a call for which nobody waits any more."""
+    call = state.calls.get(call_id)
+    if call is None:
+        return []
+    close(state, call)
+    effects = idempotency.withdraw(state.claims, call_id, now)
+    instance = call.instance
+    if instance is None:
+        return effects
+    if instance.node == state.node:
+        effects += hops.cancel(state, call.attempt_id, now)
+    else:
+        cancel = CancelCall(call.attempt_id)
+        effects.append(SendMessage(instance.node, cancel))
+    cancelled = Attempt(AttemptKind.cancelled)
+    _observe(state, call, cancelled, now)
+    return effects + finish_claim(state, call, cancelled, now)
+
+
+def _observe(
+    state: NodeState,
+    call: EntryCall,
+    attempt: Attempt,
+    now: Millis,
+) -> None:
+    instance = call.instance
+    if instance is None:
+        return
+    routing.observe(
+        state.routing,
+        instance.node,
+        _OUTCOMES.get(attempt.kind, routing.CallOutcome.failed),
+        now,
+        load=attempt.load,
+        incarnation=instance.incarnation,
+    )
+
+
+def _plan_retry(
+    state: NodeState,
+    call: EntryCall,
+    attempt: Attempt,
+    now: Millis,
+) -> list[Effect]:
+    refusal = attempt.refusal or _FAILURES[attempt.kind]
+    service = call.header.service
+    failed = FailedCall(
+        attempt=call.attempts,
+        code=refusal.code,
+        run=refusal.run,
+        idempotent=call.row.idempotent,
+        deadline=call.deadline,
+        other_instance=routing.has_other(state.routing, service, call.tried),
+        all_overloaded=routing.refuses(
+            state.routing,
+            service,
+            call.header.importance,
+            now,
+        ),
+    )
+    plan = retries.plan_retry(failed, state.random, now)
+    if isinstance(plan, RetryAfter):
+        call.failure = attempt
+        call.delay = plan.delay
+        granted, effects = charge(state, call, call.attempts, now)
+        if granted is None:
+            return effects
+        return _continue(state, call, now, granted=granted)
+    return _fail(state, call, attempt, now)
+
+
+def _continue(
+    state: NodeState,
+    call: EntryCall,
+    now: Millis,
+    *,
+    granted: bool,
+) -> list[Effect]:
+    fields = {
+        'request_id': call.header.request_id,
+        'row': call.row.name,
+        'granted': granted,
+    }
+    effects: list[Effect] = [RecordEvent(EventKind.retry_decided, fields)]
+    if call.asks_repeat:
+        call.asks_repeat = False
+        if granted:
+            return effects + take_rate(state, call, now)
+        return effects + refuse_repeat(state, call, now)
+    if granted:
+        decision = RetryLater(call.delay)
+        return [*effects, Decide(call.arrived.call_id, decision)]
+    return effects + _fail(state, call, call.failure, now)
+
+
+def _fail(
+    state: NodeState,
+    call: EntryCall,
+    attempt: Attempt | None,
+    now: Millis,
+) -> list[Effect]:
+    attempt = attempt or Attempt(AttemptKind.lost)
+    if attempt.kind is AttemptKind.shed:
+        close(state, call)
+        return [
+            Decide(call.arrived.call_id, Deliver()),
+            *finish_claim(state, call, attempt, now),
+        ]
+    refusal = attempt.refusal or _FAILURES[attempt.kind]
+    return refuse(state, call, refusal, now)
--- /dev/null
+++ b/src/jasmineramp/call_endings.py
@@ -0,0 +1,120 @@
+"""End calls: refuse them, close their ledger and settle their claim."""
+
+from jasmineramp import idempotency, retries
+from jasmineramp.call_messages import (
+    Attempt,
+    AttemptKind,
+    CallArrived,
+    CallHeader,
+    Decide,
+    Refused,
+)
+from jasmineramp.claim_messages import ClaimEnd
+from jasmineramp.clock import Millis
+from jasmineramp.effects import Effect, EventKind, RecordEvent
+from jasmineramp.ids import RequestId, RowName, WorkspaceId
+from jasmineramp.refusals import Refusal, RefusalCode, RunState
+from jasmineramp.state import EntryCall, NodeState
+from jasmineramp.table import CallRow
+
+_NO_WORKSPACE = WorkspaceId('')
+
+
+def refuse(
+    state: NodeState,
+    call: EntryCall,
+    refusal: Refusal,
+    now: Millis,
+) -> list[Effect]:
+    """Refuse a call; a claim is released only if the call did not run."""
+    close(state, call)
+    effects: list[Effect] = []
+    if call.claimed:
+        ran = refusal.run is not RunState.not_run
+        effects += idempotency.finish(
+            state.claims,
+            call.arrived.call_id,
+            ClaimEnd.unknown if ran else ClaimEnd.not_run,
+            now,
+        )
+    return effects + _answer_refusal(state, call.arrived, refusal, call.header)
+
+
+def refuse_early(
+    state: NodeState,
+    event: CallArrived,
+    code: RefusalCode,
+    row: CallRow | None = None,
+) -> list[Effect]:
+    """Refuse a call that has not been opened."""
+    refusal = Refusal(code, row=row.name if row else '')
+    return _answer_refusal(state, event, refusal, None)
+
+
+def close(state: NodeState, call: EntryCall) -> None:
+    """Forget a call; its request ends with its first call."""
+    state.calls.pop(call.arrived.call_id, None)
+    state.parked.pop(call.arrived.call_id, None)
+    if call.header.hop == 0:
+        retries.close_request(state.retries, call.header.request_id)
+
+
+def finish_claim(
+    state: NodeState,
+    call: EntryCall,
+    attempt: Attempt,
+    now: Millis,
+) -> list[Effect]:
+    """Report the end of a claimed call that may have run."""
+    if not call.claimed:
+        return []
+    end = ClaimEnd.unknown
+    if attempt.kind in {AttemptKind.answered, AttemptKind.shed}:
+        end = ClaimEnd.done
+    return idempotency.finish(
+        state.claims,
+        call.arrived.call_id,
+        end,
+        now,
+        status=attempt.status,
+        response=attempt.response,
+    )
+
+
+def _answer_refusal(
+    state: NodeState,
+    event: CallArrived,
+    refusal: Refusal,
+    header: CallHeader | None,
+) -> list[Effect]:
+    request_id = header.request_id if header else RequestId(event.call_id)
+    whole = Refusal(
+        refusal.code,
+        refusal.run,
+        row=refusal.row,
+        column=refusal.column,
+        figure=refusal.figure,
+        limit=refusal.limit,
+        retry_after=refusal.retry_after,
+        node=refusal.node or state.node,
+        revision=refusal.revision or state.configuration.revision,
+        request_id=request_id,
+    )
+    fields = {
+        'request_id': request_id,
+        'workspace': header.workspace if header else _NO_WORKSPACE,
+        'call': header.row if header else RowName(refusal.row),
+        'hop': header.hop if header else 0,
+        'code': whole.code.value,
+        'run': whole.run.value,
+        'row': whole.row,
+        'column': whole.column,
+        'figure': whole.figure,
+        'limit': whole.limit,
+        'decided_by': whole.node,
+        'revision': whole.revision,
+    }
+    return [
+        Decide(event.call_id, Refused(whole)),
+        RecordEvent(EventKind.call_refused, fields),
+    ]
--- /dev/null
+++ b/src/jasmineramp/call_runner.py
@@ -0,0 +1,315 @@
+"""Run calls: ask the actor for each step and move the bytes."""
+
+import queue
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor
+from functools import singledispatchmethod
+
+import msgspec
+import pykka
+
+from jasmineramp.actors import Delivery, NodeActor
+from jasmineramp.call_messages import (
+    Attempt,
+    AttemptEnded,
+    AttemptKind,
+    BackoffEnded,
+    CallArrived,
+    CallDecision,
+    CallerLeft,
+    Deliver,
+    Forward,
+    HopArrived,
+    HopEnded,
+    HopRefused,
+    Refused,
+    Replayed,
+    RetryLater,
+    RunHere,
+)
+from jasmineramp.clock import Clock
+from jasmineramp.events import Event
+from jasmineramp.http_messages import HttpRequest, HttpResponse
+from jasmineramp.ids import CallId
+from jasmineramp.peers import HopAnswer, HopRequest, PeerNetwork
+from jasmineramp.refusals import Refusal, RefusalCode, RunState
+from jasmineramp.upstreams import UpstreamClient, UpstreamResult
+
+# How often a waiting thread looks whether its caller is still connected.
+POLL_SECONDS = 0.1
+# The instance's node answers at the deadline; its answer needs some time.
+ANSWER_GRACE_MS = 50
+KEPT_RESPONSE_BYTES = 64 * 1024
+_MILLIS_PER_SECOND = 1000
+
+CallResult = HttpResponse | Refusal
+CallerCheck = Callable[[], bool]
+
+_response_decoder = msgspec.msgpack.Decoder(HttpResponse)
+
+
+class _PendingHop(msgspec.Struct):
+    """Hold the queue on which a thread waits for the answer of a peer."""
+
+    address: str
+    answers: 'queue.SimpleQueue[UpstreamResult]'
+
+
+class _Progress(msgspec.Struct):
+    """Hold what a thread knows about its call."""
+
+    call_id: CallId
+    request: HttpRequest
+    caller_left: CallerCheck
+    keeps_response: bool
+    response: HttpResponse | None = None
+
+
+class CallRunner:
+    """Run calls of callers and of other nodes."""
+
+    def __init__(
+        self,
+        actor: pykka.ActorRef[NodeActor],
+        clock: Clock,
+        *,
+        upstream: UpstreamClient,
+        network: PeerNetwork,
+        executor: Executor,
+        peer_address: str,
+    ) -> None:
+        self.actor = actor
+        self.clock = clock
+        self.upstream = upstream
+        self.network = network
+        self.executor = executor
+        self.peer_address = peer_address
+        self.lock = threading.Lock()
+        self.hops: dict[CallId, _PendingHop] = {}
+
+    def run(
+        self,
+        arrived: CallArrived,
+        request: HttpRequest,
+        caller_left: CallerCheck,
+    ) -> CallResult:
+        """Run a call to its end and return its response or refusal."""
+        progress = _Progress(
+            arrived.call_id,
+            request,
+            caller_left,
+            arrived.idempotency_key is not None,
+        )
+        step: CallDecision | CallResult = self._ask(progress, arrived)
+        while isinstance(step, CallDecision):
+            step = self._follow(step, progress)
+        return step
+
+    def answer_hop(self, message: HopRequest) -> None:
+        """Run a call that another node sends."""
+        header = message.header
+
+        def decide(decision: CallDecision) -> None:
+            if isinstance(decision, RunHere):
+                self.executor.submit(self._run_hop, decision, message)
+            elif isinstance(decision, HopRefused):
+                attempt = Attempt(
+                    AttemptKind.refused,
+                    refusal=decision.refusal,
+                    load=decision.load,
+                )
+                self._answer(message, UpstreamResult(attempt))
+
+        event = HopArrived(header, secrets.token_hex(16))
+        self.actor.tell(Delivery(event, header.call_id, decide))
+
+    def accept_answer(self, message: HopAnswer) -> None:
+        """Hand the answer of a peer to the thread that waits for it.
+
+        A late or second answer finds no thread and is dropped.
+        """
+        with self.lock:
+            hop = self.hops.pop(message.call_id, None)
+        if hop is not None:
+            hop.answers.put(UpstreamResult(message.attempt, message.response))
+
+    def lose_link(self, address: str) -> None:
+        """End the attempts that wait for a peer that disconnected."""
+        with self.lock:
+            lost = [
+                call_id
+                for call_id, hop in self.hops.items()
+                if hop.address == address
+            ]
+            hops = [self.hops.pop(call_id) for call_id in lost]
+        for hop in hops:
+            hop.answers.put(UpstreamResult(Attempt(AttemptKind.lost)))
+
+    def _ask(
+        self,
+        progress: _Progress,
+        event: Event,
+    ) -> CallDecision | CallResult:
+        decisions: queue.SimpleQueue[CallDecision] = queue.SimpleQueue()
+        delivery = Delivery(event, progress.call_id, decisions.put)
+        self.actor.tell(delivery)
+        while True:
+            try:
+                return decisions.get(timeout=POLL_SECONDS)
+            except queue.Empty:
+                if progress.caller_left():
+                    return self._leave(progress)
+
+    def _leave(self, progress: _Progress) -> Refusal:
+        self.actor.tell(Delivery(CallerLeft(progress.call_id)))
+        return Refusal(RefusalCode.cancelled, RunState.unknown)
+
+    @singledispatchmethod
+    def _follow(
+        self,
+        decision: CallDecision,
+        progress: _Progress,
+    ) -> CallDecision | CallResult:
+        raise NotImplementedError(type(decision))
+
+    @_follow.register
+    def _(self, decision: Refused, progress: _Progress) -> CallResult:
+        return decision.refusal
+
+    @_follow.register
+    def _(self, decision: Replayed, progress: _Progress) -> CallResult:
+        return _response_decoder.decode(decision.response)
+
+    @_follow.register
+    def _(self, decision: Deliver, progress: _Progress) -> CallResult:
+        return progress.response or Refusal(
+            RefusalCode.upstream_lost,
+            RunState.unknown,
+        )
+
+    @_follow.register
+    def _(
+        self,
+        decision: RetryLater,
+        progress: _Progress,
+    ) -> CallDecision | CallResult:
+        time.sleep(decision.delay / _MILLIS_PER_SECOND)
+        return self._ask(progress, BackoffEnded(progress.call_id))
+
+    @_follow.register
+    def _(
+        self,
+        decision: HopRefused,
+        progress: _Progress,
+    ) -> CallDecision | CallResult:
+        attempt = Attempt(
+            AttemptKind.refused,
+            refusal=decision.refusal,
+            load=decision.load,
+        )
+        return self._ask(progress, AttemptEnded(progress.call_id, attempt))
+
+    @_follow.register
+    def _(
+        self,
+        decision: RunHere,
+        progress: _Progress,
+    ) -> CallDecision | CallResult:
+        result = self.upstream.run(decision, progress.request)
+        return self._end_attempt(progress, result)
+
+    @_follow.register
+    def _(
+        self,
+        decision: Forward,
+        progress: _Progress,
+    ) -> CallDecision | CallResult:
+        result = self._forward(decision, progress)
+        if result is None:
+            return self._leave(progress)
+        return self._end_attempt(progress, result)
+
+    def _end_attempt(
+        self,
+        progress: _Progress,
+        result: UpstreamResult,
+    ) -> CallDecision | CallResult:
+        attempt = result.attempt
+        response = result.response
+        progress.response = response
+        if attempt.kind is not AttemptKind.answered or response is None:
+            return self._ask(progress, AttemptEnded(progress.call_id, attempt))
+        if (
+            progress.keeps_response
+            and len(response.body) <= KEPT_RESPONSE_BYTES
+        ):
+            kept = msgspec.msgpack.encode(response)
+            attempt = msgspec.structs.replace(attempt, response=kept)
+        event = AttemptEnded(progress.call_id, attempt)
+        self.actor.tell(Delivery(event))
+        return response
+
+    def _forward(
+        self,
+        decision: Forward,
+        progress: _Progress,
+    ) -> UpstreamResult | None:
+        call_id = decision.header.call_id
+        hop = _PendingHop(decision.address, queue.SimpleQueue())
+        with self.lock:
+            self.hops[call_id] = hop
+        message = HopRequest(
+            decision.header,
+            progress.request,
+            self.peer_address,
+        )
+        if not self.network.send(decision.address, message, wait=True):
+            with self.lock:
+                self.hops.pop(call_id, None)
+            return UpstreamResult(Attempt(AttemptKind.unreachable))
+        result = self._wait_for_hop(hop, decision, progress.caller_left)
+        if result is None or result.attempt.kind is AttemptKind.timed_out:
+            with self.lock:
+                self.hops.pop(call_id, None)
+        return result
+
+    def _wait_for_hop(
+        self,
+        hop: _PendingHop,
+        decision: Forward,
+        caller_left: CallerCheck,
+    ) -> UpstreamResult | None:
+        until = decision.deadline + ANSWER_GRACE_MS
+        while True:
+            remaining = (until - self.clock.now()) / _MILLIS_PER_SECOND
+            if remaining <= 0:
+                return UpstreamResult(Attempt(AttemptKind.timed_out))
+            try:
+                return hop.answers.get(timeout=min(POLL_SECONDS, remaining))
+            except queue.Empty:
+                if caller_left():
+                    return None
+
+    def _run_hop(self, decision: RunHere, message: HopRequest) -> None:
+        result = self.upstream.run(decision, message.request)
+        self.actor.tell(
+            Delivery(HopEnded(decision.header.call_id, result.attempt))
+        )
+        self._answer(message, result)
+
+    def _answer(self, message: HopRequest, result: UpstreamResult) -> None:
+        answer = HopAnswer(
+            message.header.call_id,
+            result.attempt,
+            result.response,
+        )
+        if not self.network.send(message.answer_to, answer):
+            self.executor.submit(
+                self.network.send,
+                message.answer_to,
+                answer,
+                wait=True,
+            )
--- /dev/null
+++ b/src/jasmineramp/gateway.py
@@ -0,0 +1,228 @@
+"""Serve callers and the own upstream over HTTP."""
+
+import secrets
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Annotated, Any
+
+import msgspec
+
+from jasmineramp.authentication import digest_key
+from jasmineramp.call_messages import CallArrived
+from jasmineramp.call_runner import CallRunner
+from jasmineramp.claim_log import digest_body
+from jasmineramp.credentials import find_key, strip_headers, strip_query
+from jasmineramp.http_messages import Header, HttpRequest, HttpResponse
+from jasmineramp.ids import (
+    CallId,
+    ContextToken,
+    IdempotencyKey,
+    NodeId,
+    ServiceName,
+)
+from jasmineramp.membership_messages import Upstream, UpstreamState
+from jasmineramp.refusals import Refusal, RefusalCode
+from jasmineramp.retries import fingerprint
+from jasmineramp.upstreams import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    REQUEST_HEADER,
+    drop_hop_headers,
+)
+
+ANNOUNCE_PATH = '/.jasmineramp/announce'
+IDEMPOTENCY_HEADER = 'idempotency-key'
+_OWN_HEADERS = frozenset(
+    name.lower() for name in (CONTEXT_HEADER, DEADLINE_HEADER, REQUEST_HEADER)
+)
+_LONGEST_IDEMPOTENCY_KEY = 255
+_MILLIS_PER_SECOND = 1000
+_CANCELLED = 499
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold what an upstream announces; see docs/interfaces.md."""
+
+    service: ServiceName
+    port: Annotated[int, msgspec.Meta(gt=0, lt=65_536)]
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    connections: Annotated[int, msgspec.Meta(ge=1)]
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1
+    state: UpstreamState = UpstreamState.ready
+
+
+class Gateway:
+    """Answer HTTP requests as a WSGI application."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        runner: CallRunner,
+        announce: Callable[[Upstream], None],
+    ) -> None:
+        self.node = node
+        self.runner = runner
+        self.announce = announce
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        if environ['PATH_INFO'] == ANNOUNCE_PATH:
+            return self._take_announcement(environ, start_response)
+        headers = tuple(_read_headers(environ))
+        call = self._read_call(environ, headers)
+        if isinstance(call, Refusal):
+            return _send_refusal(call, start_response)
+        arrived, request = call
+        caller_left = environ.get('waitress.client_disconnected', _stays)
+        result = self.runner.run(arrived, request, caller_left)
+        if isinstance(result, Refusal):
+            return _send_refusal(result, start_response)
+        return _send_response(result, arrived.call_id, start_response)
+
+    def _read_call(
+        self,
+        environ: Environ,
+        headers: tuple[Header, ...],
+    ) -> tuple[CallArrived, HttpRequest] | Refusal:
+        fields = {name.lower(): text for name, text in headers}
+        call_id = CallId(f'{self.node}-{secrets.token_hex(8)}')
+        remaining = _read_deadline(fields.get(DEADLINE_HEADER.lower()))
+        idempotency_key = fields.get(IDEMPOTENCY_HEADER)
+        if remaining is None or (
+            idempotency_key is not None
+            and not 0 < len(idempotency_key) <= _LONGEST_IDEMPOTENCY_KEY
+        ):
+            column = 'timeout_ms' if remaining is None else 'idempotent'
+            return Refusal(
+                RefusalCode.request_malformed,
+                column=column,
+                node=self.node,
+            )
+        query = environ['QUERY_STRING']
+        path = environ['REQUEST_URI'].partition('?')[0]
+        kept_query = strip_query(query)
+        target = f'{path}?{kept_query}' if kept_query else path
+        method = environ['REQUEST_METHOD']
+        body = environ['wsgi.input'].read()
+        key = find_key(headers, query)
+        context = fields.get(CONTEXT_HEADER.lower())
+        arrived = CallArrived(
+            call_id=call_id,
+            method=method,
+            path=environ['PATH_INFO'],
+            nonce=secrets.token_hex(16),
+            key=digest_key(key) if key else None,
+            context=ContextToken(context) if context else None,
+            idempotency_key=(
+                IdempotencyKey(idempotency_key) if idempotency_key else None
+            ),
+            body_digest=digest_body(body) if idempotency_key else 0,
+            fingerprint=fingerprint(method, target, body) if context else b'',
+            remaining=remaining if remaining >= 0 else None,
+        )
+        passed = tuple(
+            pair
+            for pair in drop_hop_headers(strip_headers(headers))
+            if pair[0].lower() not in _OWN_HEADERS
+        )
+        return arrived, HttpRequest(method, target, passed, body)
+
+    def _take_announcement(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if not environ['REMOTE_ADDR'].startswith('127.'):
+            start_response('403 Forbidden', [('Content-Length', '0')])
+            return []
+        try:
+            announcement = msgspec.json.decode(
+                environ['wsgi.input'].read(),
+                type=Announcement,
+            )
+        except msgspec.MsgspecError as error:
+            return _send_json(
+                HTTPStatus.BAD_REQUEST,
+                {'error': str(error), 'remedy': 'see docs/interfaces.md'},
+                start_response,
+            )
+        upstream = Upstream(
+            announcement.service,
+            announcement.port,
+            announcement.slots,
+            announcement.connections,
+            announcement.weight,
+            announcement.state,
+        )
+        self.announce(upstream)
+        return _send_json(HTTPStatus.OK, {'node': self.node}, start_response)
+
+
+def _read_headers(environ: Environ) -> Iterator[Header]:
+    for name, text in environ.items():
+        if name.startswith('HTTP_'):
+            yield name[5:].replace('_', '-').title(), text
+    if environ.get('CONTENT_TYPE'):
+        yield 'Content-Type', environ['CONTENT_TYPE']
+
+
+def _read_deadline(text: str | None) -> float | None:
+    """Return ms, -1 without a deadline, None if it can't be read."""
+    if text is None:
+        return -1
+    return float(text) if text.isdecimal() else None
+
+
+def _send_response(
+    response: HttpResponse,
+    call_id: CallId,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    headers = [
+        *response.headers,
+        ('Content-Length', str(len(response.body))),
+        (REQUEST_HEADER, call_id),
+    ]
+    start_response(f'{response.status} {response.reason}', headers)
+    return [response.body]
+
+
+def _send_refusal(
+    refusal: Refusal,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    document = msgspec.to_builtins(refusal)
+    document['status'] = refusal.status
+    return _send_json(refusal.status, document, start_response)
+
+
+def _send_json(
+    status: int,
+    document: Any,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    body = msgspec.json.encode(document)
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    ]
+    retry_after = document.get('retry_after')
+    if retry_after is not None:
+        seconds = max(1, round(retry_after / _MILLIS_PER_SECOND))
+        headers.append(('Retry-After', str(seconds)))
+    if document.get('request_id'):
+        headers.append((REQUEST_HEADER, document['request_id']))
+    reason = 'Refused' if status == _CANCELLED else HTTPStatus(status).phrase
+    start_response(f'{status} {reason}', headers)
+    return [body]
+
+
+def _stays() -> bool:
+    return False
--- /dev/null
+++ b/src/jasmineramp/hops.py
@@ -0,0 +1,256 @@
+"""Run calls on the own instance through its admission queue."""
+
+from collections.abc import Iterable
+
+from jasmineramp import admission, membership, retries
+from jasmineramp.admission import AdmissionState, Decision, Refuse, Start
+from jasmineramp.call_messages import (
+    Attempt,
+    AttemptKind,
+    CallHeader,
+    CancelRun,
+    Decide,
+    HopArrived,
+    HopRefused,
+    RunHere,
+)
+from jasmineramp.clock import Millis, later
+from jasmineramp.effects import Effect, EventKind, RecordEvent
+from jasmineramp.fair_queue import QueuedCall
+from jasmineramp.ids import CallId, ContextToken, KeyDigest
+from jasmineramp.limits import CallOutcome, Limiter
+from jasmineramp.load_reports import LoadReport
+from jasmineramp.membership_messages import Upstream, UpstreamState
+from jasmineramp.refusals import Refusal, RefusalCode
+from jasmineramp.state import NodeState, PendingHop, RunningCall
+from jasmineramp.table import LEAST_IMPORTANCE
+
+# A repeated message for an attempt arrives within seconds, if at all.
+RECENT_HOPS = 20_000
+
+_OUTCOMES = {
+    AttemptKind.answered: CallOutcome.succeeded,
+    AttemptKind.shed: CallOutcome.shed,
+    AttemptKind.timed_out: CallOutcome.timed_out,
+    AttemptKind.cancelled: CallOutcome.cancelled,
+}
+
+
+def announce(
+    state: NodeState,
+    upstream: Upstream,
+    now: Millis,
+) -> list[Effect]:
+    """Adopt an announcement of the own upstream."""
+    effects = membership.announce(state.membership, upstream, now)
+    before = state.upstream
+    state.upstream = upstream
+    if upstream == before:
+        return effects
+    effects.append(
+        RecordEvent(
+            EventKind.upstream_changed,
+            {
+                'upstream': upstream.service,
+                'state': upstream.state.value,
+                'slots': upstream.slots,
+            },
+        ),
+    )
+    if upstream.state is UpstreamState.draining:
+        return effects + drain(state, now)
+    if state.admission is None:
+        limiter = Limiter(upstream.slots, upstream.connections)
+        state.admission = AdmissionState(limiter)
+        return effects
+    decisions = admission.resize(
+        state.admission,
+        upstream.slots,
+        upstream.connections,
+        now,
+    )
+    return effects + _apply(state, decisions, now)
+
+
+def drain(state: NodeState, now: Millis) -> list[Effect]:
+    """Refuse queued and new calls; running calls finish."""
+    if state.admission is None:
+        return []
+    return _apply(state, admission.drain(state.admission), now)
+
+
+def arrive(state: NodeState, event: HopArrived, now: Millis) -> list[Effect]:
+    """Admit a call that another node sends."""
+    header = event.header
+    if header.call_id in state.recent_hops:
+        # The transport may repeat a message; the first one is answered.
+        return []
+    state.recent_hops[header.call_id] = None
+    if len(state.recent_hops) > RECENT_HOPS:
+        state.recent_hops.popitem(last=False)
+    return offer(state, header, event.nonce, header.call_id, now)
+
+
+def offer(
+    state: NodeState,
+    header: CallHeader,
+    nonce: str,
+    waiter: CallId,
+    now: Millis,
+) -> list[Effect]:
+    """Offer an attempt to the queue of the own instance."""
+    queue = state.admission
+    upstream = state.upstream
+    if queue is None or upstream is None or upstream.service != header.service:
+        refusal = Refusal(RefusalCode.no_upstream, row=header.row)
+        return [Decide(waiter, HopRefused(refusal, report_load(state, now)))]
+    if is_withdrawn(state, header):
+        refusal = Refusal(RefusalCode.key_unknown, row=header.workspace)
+        return [Decide(waiter, HopRefused(refusal, report_load(state, now)))]
+    deadline = later(now, header.remaining)
+    state.pending_hops[header.call_id] = PendingHop(
+        header,
+        nonce,
+        deadline,
+        waiter,
+    )
+    queued = QueuedCall(
+        call_id=header.call_id,
+        workspace=header.workspace,
+        row=header.row,
+        importance=header.importance,
+        hop=header.hop,
+        deadline=deadline,
+        weight=header.weight,
+        request_id=header.request_id,
+        key=header.key,
+    )
+    return _apply(state, admission.offer(queue, queued, now), now)
+
+
+def is_withdrawn(state: NodeState, header: CallHeader) -> bool:
+    """Tell whether the key of a call was granted once and is no more.
+
+    A node that is behind may not know a key yet; it trusts the sender.
+    """
+    if not header.key or header.revision > state.configuration.revision:
+        return False
+    return not state.keys.is_granted(header.key)
+
+
+def finish(
+    state: NodeState,
+    call_id: CallId,
+    attempt: Attempt,
+    now: Millis,
+) -> list[Effect]:
+    """End an attempt that ran on the own instance."""
+    running = state.running.pop(call_id, None)
+    if running is None:
+        return []
+    state.contexts.pop(running.context, None)
+    retries.forget_token(state.retries, running.context)
+    if state.admission is None:
+        return []
+    outcome = _OUTCOMES.get(attempt.kind, CallOutcome.failed)
+    return _apply(
+        state,
+        admission.finish(state.admission, call_id, outcome, now),
+        now,
+    )
+
+
+def cancel(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
+    """Stop an attempt that nobody waits for."""
+    if call_id in state.running:
+        return [CancelRun(call_id)]
+    if state.admission is None:
+        return []
+    return _apply(state, admission.cancel(state.admission, call_id), now)
+
+
+def withdraw_keys(
+    state: NodeState,
+    withdrawn: frozenset[KeyDigest],
+    now: Millis,
+) -> list[Effect]:
+    """Refuse queued calls whose key is no longer granted."""
+    if state.admission is None or not withdrawn:
+        return []
+    decisions = admission.withdraw(
+        state.admission,
+        lambda call: call.key in withdrawn,
+        now,
+        RefusalCode.key_unknown,
+    )
+    return _apply(state, decisions, now)
+
+
+def tick(state: NodeState, now: Millis) -> list[Effect]:
+    """Refuse queued calls whose time is over."""
+    if state.admission is None:
+        return []
+    return _apply(state, admission.expire(state.admission, now), now)
+
+
+def report_load(state: NodeState, now: Millis) -> LoadReport:
+    """Return the load that goes back with an answer."""
+    queue = state.admission
+    if queue is None:
+        return LoadReport(0, LEAST_IMPORTANCE)
+    return LoadReport(
+        len(queue.queue.entries),
+        admission.shed_level(queue, now),
+    )
+
+
+def _apply(
+    state: NodeState,
+    decisions: Iterable[Decision],
+    now: Millis,
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for decision in decisions:
+        pending = state.pending_hops.get(decision.call.call_id)
+        if pending is None:
+            continue
+        if isinstance(decision, Start):
+            effects.append(_start(state, pending))
+        elif isinstance(decision, Refuse):
+            effects.append(_refuse(state, pending, decision, now))
+    return effects
+
+
+def _start(state: NodeState, pending: PendingHop) -> Effect:
+    header = pending.header
+    state.pending_hops.pop(header.call_id)
+    context = ContextToken(f'{header.call_id}-{pending.nonce}')
+    running = RunningCall(header, pending.deadline, context)
+    state.running[header.call_id] = running
+    state.contexts[context] = running
+    port = state.upstream.port if state.upstream else 0
+    return Decide(
+        pending.waiter,
+        RunHere(header, context, port, pending.deadline),
+    )
+
+
+def _refuse(
+    state: NodeState,
+    pending: PendingHop,
+    decision: Refuse,
+    now: Millis,
+) -> Effect:
+    state.pending_hops.pop(pending.header.call_id)
+    refusal = Refusal(
+        decision.code,
+        row=decision.row or pending.header.row,
+        column=decision.column,
+        figure=decision.figure,
+        limit=decision.limit,
+        retry_after=decision.retry_after,
+        node=state.node,
+        revision=state.configuration.revision,
+        request_id=pending.header.request_id,
+    )
+    return Decide(pending.waiter, HopRefused(refusal, report_load(state, now)))
--- /dev/null
+++ b/src/jasmineramp/logs.py
@@ -0,0 +1,42 @@
+"""Write structured logs as JSON lines."""
+
+import logging
+import sys
+
+import structlog
+
+from jasmineramp.ids import NodeId
+
+LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+def configure_logs(node: NodeId, level: str) -> None:
+    """Send logs of the process to standard error as JSON lines."""
+    set_level(level)
+    structlog.contextvars.bind_contextvars(node=node)
+    structlog.configure(
+        processors=[
+            structlog.stdlib.filter_by_level,
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso'),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        cache_logger_on_first_use=True,
+    )
+    logging.basicConfig(format='%(message)s', stream=sys.stderr, force=True)
+    set_level(level)
+    logging.getLogger('waitress').setLevel(logging.ERROR)
+
+
+def set_level(level: str) -> None:
+    """Change the least level that is written."""
+    logging.getLogger().setLevel(level.upper())
+
+
+def get_logger(name: str) -> structlog.stdlib.BoundLogger:
+    """Return the logger of a module."""
+    logger: structlog.stdlib.BoundLogger = structlog.get_logger(name)
+    return logger
--- a/src/jasmineramp/membership.py
+++ b/src/jasmineramp/membership.py
@@ -88,6 +88,16 @@
     state.view.put_revision(state.entry)
 
 
+def set_rate_slot(
+    state: MembershipState,
+    slot: int | None,
+    now: Millis,
+) -> None:
+    """Publish the rate slot that this node holds."""
+    if state.entry.rate_slot != slot:
+        replace_own(state, now, rate_slot=slot)
+
+
 def add_seeds(state: MembershipState, addresses: Iterable[str]) -> None:
     """Add initial contacts, such as those read from the platform."""
     state.seeds |= set(addresses) - {state.entry.address}
--- a/src/jasmineramp/membership_messages.py
+++ b/src/jasmineramp/membership_messages.py
@@ -60,6 +60,7 @@
     status: MemberStatus = MemberStatus.alive
     upstream: Upstream | None = None
     revision: int = 0
+    rate_slot: int | None = None
 
 
 class DomainMark(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/jasmineramp/node.py
@@ -0,0 +1,255 @@
+"""Assemble a node and own everything that must be closed."""
+
+import contextlib
+import random
+import secrets
+import threading
+import time
+from collections import deque
+from concurrent.futures import ThreadPoolExecutor
+
+import pykka
+from waitress.server import create_server
+
+from jasmineramp import membership, propagation
+from jasmineramp.actors import Delivery, Inspection, NodeActor, Ticker
+from jasmineramp.call_messages import (
+    StopRequested,
+    TableLoaded,
+    UpstreamAnnounced,
+)
+from jasmineramp.call_runner import CallRunner
+from jasmineramp.claim_settings import ClaimSettings
+from jasmineramp.clock import Clock, Millis, MonotonicClock
+from jasmineramp.configuration_state import ConfigurationState
+from jasmineramp.effects import RecordEvent
+from jasmineramp.events import MessageReceived
+from jasmineramp.exceptions import AddressInUseError, MessageError
+from jasmineramp.exchange import ExchangeState
+from jasmineramp.gateway import Gateway
+from jasmineramp.idempotency import ClaimState
+from jasmineramp.ids import CallId, NodeId, Revision
+from jasmineramp.logs import get_logger
+from jasmineramp.membership_messages import NodeEntry, Upstream
+from jasmineramp.membership_state import MembershipState
+from jasmineramp.messages import Message
+from jasmineramp.peers import HopAnswer, HopRequest, PeerNetwork
+from jasmineramp.rates import RateState
+from jasmineramp.routing import RoutingState
+from jasmineramp.settings import Settings, split_address
+from jasmineramp.state import NodeState
+from jasmineramp.store_http import HttpStore
+from jasmineramp.store_messages import (
+    Outcome,
+    StoreAnswer,
+    StoreAnswered,
+    StoreRequest,
+)
+from jasmineramp.upstreams import UpstreamClient
+
+STORE_THREADS = 6
+IDLE_POLL_SECONDS = 0.05
+CALLER_CONNECTIONS = 2000
+CALLER_BACKLOG = 1024
+_MILLIS_PER_SECOND = 1000
+
+_log = get_logger(__name__)
+
+
+def build_state(settings: Settings, incarnation: int, now: Millis) -> NodeState:
+    """Return the state of a node that has just started.
+
+    The incarnation is larger than that of any predecessor of the node.
+    """
+    rng = random.Random(secrets.randbits(64))
+    entry = NodeEntry(
+        settings.node,
+        settings.peer,
+        settings.domain,
+        incarnation,
+    )
+    claim_settings = ClaimSettings(
+        settings.node,
+        incarnation,
+        settings.domain,
+        settings.domains,
+    )
+    seed = rng.getrandbits(32)
+    return NodeState(
+        settings.node,
+        settings.domain,
+        rng,
+        membership=MembershipState(entry, settings.seeds, rng, now),
+        configuration=ConfigurationState(
+            settings.node,
+            settings.domain,
+            seed,
+            settings.domains,
+            has_platform=bool(settings.platform),
+        ),
+        routing=RoutingState(settings.domain, rng, now),
+        rates=RateState(settings.node, incarnation, now),
+        exchange=ExchangeState(settings.node, settings.domain, seed),
+        claims=ClaimState(claim_settings, seed),
+    )
+
+
+class Node:
+    """Run one node: callers, peers, platform and the state in its actor."""
+
+    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.stack = contextlib.ExitStack()
+        self.addresses: dict[NodeId, str] = {}
+        self.store = HttpStore(settings.platform) if settings.platform else None
+        self.events: deque[RecordEvent] = deque(maxlen=1000)
+        try:
+            self._assemble()
+        except BaseException:
+            self.stack.close()
+            raise
+
+    def start(self) -> None:
+        """Begin to serve; the server threads run in the background."""
+        self.network.start()
+        self.ticker.start()
+        self.server_thread.start()
+
+    def load_table(self, revision: Revision, body: bytes) -> None:
+        """Put a table from a file in force."""
+        self.actor.ask(Delivery(TableLoaded(revision, body)))
+
+    def stop(self) -> None:
+        """Stop gracefully: finish calls, hand over, then close."""
+        self.actor.tell(Delivery(StopRequested()))
+        until = time.monotonic() + (
+            self.settings.stop_after_ms / _MILLIS_PER_SECOND
+        )
+        while time.monotonic() < until:
+            if self.actor.ask(Inspection(propagation.is_idle)):
+                break
+            time.sleep(IDLE_POLL_SECONDS)
+        self.close()
+
+    def close(self) -> None:
+        """Close everything at once."""
+        self.stack.close()
+
+    def send(self, node: NodeId, message: Message) -> None:
+        """Send a message to a node; it may be lost."""
+        address = membership.address_of(self.state.membership, node)
+        self.network.send(address, message)
+
+    def run_store(self, request: StoreRequest) -> None:
+        """Run a store operation in the background."""
+        with contextlib.suppress(RuntimeError):
+            self.store_executor.submit(self._run_store, request)
+
+    def record(self, event: RecordEvent) -> None:
+        """Record an event on the time line."""
+        self.events.append(event)
+        _log.info(event.kind.value, **event.fields)
+
+    def cancel_run(self, call_id: CallId) -> None:
+        """Break the upstream connection of a running call."""
+        self.upstream.cancel(call_id)
+
+    def _assemble(self) -> None:
+        settings = self.settings
+        self.state = build_state(
+            settings,
+            time.time_ns() // 1_000_000,
+            self.clock.now(),
+        )
+        self.upstream = UpstreamClient(self.clock)
+        self.stack.callback(self.upstream.close)
+        if self.store is not None:
+            self.stack.callback(self.store.close)
+        self.executor = ThreadPoolExecutor(settings.run_threads, 'run')
+        self.stack.callback(self._shut_down, self.executor)
+        self.store_executor = ThreadPoolExecutor(STORE_THREADS, 'store')
+        self.stack.callback(self._shut_down, self.store_executor)
+        self.network = PeerNetwork(
+            settings.node,
+            settings.peer,
+            self._take_message,
+            self._lose_link,
+            self._report_message_error,
+        )
+        self.stack.callback(self.network.close)
+        self.actor = NodeActor.start(self.state, self.clock, self)
+        self.stack.callback(self.actor.stop, block=False)
+        self.ticker = Ticker(self.actor)
+        self.stack.callback(self.ticker.close)
+        self.runner = CallRunner(
+            self.actor,
+            self.clock,
+            upstream=self.upstream,
+            network=self.network,
+            executor=self.executor,
+            peer_address=settings.peer,
+        )
+        gateway = Gateway(settings.node, self.runner, self._announce)
+        host, port = split_address(settings.caller)
+        try:
+            self.server = create_server(
+                gateway,
+                host=host,
+                port=port,
+                threads=settings.caller_threads,
+                connection_limit=CALLER_CONNECTIONS,
+                backlog=CALLER_BACKLOG,
+                asyncore_use_poll=True,
+                channel_request_lookahead=1,
+                max_request_body_size=settings.largest_body_bytes,
+                ident=None,
+            )
+        except OSError:
+            raise AddressInUseError(settings.caller) from None
+        self.stack.callback(self.server.close)
+        self.server_thread = threading.Thread(
+            target=self._serve,
+            name='caller-server',
+            daemon=True,
+        )
+
+    def _serve(self) -> None:
+        # Closing the server while it polls raises OSError in this thread.
+        with contextlib.suppress(OSError):
+            self.server.run()
+
+    def _shut_down(self, executor: ThreadPoolExecutor) -> None:
+        executor.shutdown(wait=False, cancel_futures=True)
+
+    def _announce(self, upstream: Upstream) -> None:
+        self.actor.tell(Delivery(UpstreamAnnounced(upstream)))
+
+    def _take_message(self, sender: NodeId, message: Message) -> None:
+        if isinstance(message, HopRequest):
+            self.runner.answer_hop(message)
+        elif isinstance(message, HopAnswer):
+            self.runner.accept_answer(message)
+        else:
+            with contextlib.suppress(pykka.ActorDeadError):
+                self.actor.tell(Delivery(MessageReceived(sender, message)))
+
+    def _lose_link(self, address: str) -> None:
+        self.runner.lose_link(address)
+
+    def _report_message_error(self, error: MessageError) -> None:
+        _log.warning('peer_message_rejected', error=str(error))
+
+    def _run_store(self, request: StoreRequest) -> None:
+        if self.store is None:
+            answer = StoreAnswer(Outcome.not_done, detail='no platform')
+        else:
+            answer = self.store.run(request.operation, request.role)
+        event = StoreAnswered(
+            request.role,
+            request.tag,
+            request.operation,
+            answer,
+        )
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor.tell(Delivery(event))
--- /dev/null
+++ b/src/jasmineramp/propagation.py
@@ -0,0 +1,146 @@
+"""Carry changes from one policy's state to the others of a node."""
+
+from jasmineramp import (
+    configuration,
+    exchange,
+    hops,
+    idempotency,
+    membership,
+    rates,
+    routing,
+)
+from jasmineramp.authentication import KeyRing
+from jasmineramp.call_messages import TableLoaded
+from jasmineramp.clock import Millis, later
+from jasmineramp.configuration_state import make_members
+from jasmineramp.effects import Effect, EventKind, RecordEvent
+from jasmineramp.exchange import RateMember
+from jasmineramp.ids import DomainId, NodeId
+from jasmineramp.rates import rate_table
+from jasmineramp.state import NodeState
+from jasmineramp.store_messages import StoreAnswered
+
+REFRESH_MS = 200
+
+
+def refresh(state: NodeState, now: Millis) -> list[Effect]:
+    """Tell the policies which nodes and instances there are."""
+    for change in membership.instance_changes(state.membership):
+        if change.instance is None:
+            routing.remove_instance(state.routing, change.node)
+        else:
+            routing.put_instance(state.routing, change.instance, now)
+    if now < state.refresh_at:
+        return []
+    state.refresh_at = later(now, REFRESH_MS)
+    by_domain = {
+        domain: membership.alive_in(state.membership, domain)
+        for domain in membership.domains(state.membership)
+    }
+    contacts = {
+        domain: nodes[0]
+        for domain, nodes in by_domain.items()
+        if nodes and domain != state.domain
+    }
+    own = by_domain.get(state.domain, [])
+    members = make_members(state.node, own, contacts)
+    if members != state.members:
+        state.members = members
+    return _refresh_shared(state, by_domain, now)
+
+
+def _refresh_shared(
+    state: NodeState,
+    by_domain: dict[DomainId, list[NodeId]],
+    now: Millis,
+) -> list[Effect]:
+    alive = {
+        node: domain for domain, nodes in by_domain.items() for node in nodes
+    }
+    if alive == state.alive:
+        return []
+    state.alive = alive
+    exchange.set_members(
+        state.exchange,
+        [
+            RateMember(node, domain, _rate_slot(state, node))
+            for node, domain in alive.items()
+        ],
+    )
+    rates.set_exchange(
+        state.rates,
+        exchange.exchange_of(state.exchange, state.domain),
+    )
+    return idempotency.set_members(state.claims, alive, now)
+
+
+def _rate_slot(state: NodeState, node: NodeId) -> int | None:
+    entry = membership.entry_of(state.membership, node)
+    return None if entry is None else entry.rate_slot
+
+
+def load_table(
+    state: NodeState,
+    event: TableLoaded,
+    now: Millis,
+) -> list[Effect]:
+    """Put a table from a file in force."""
+    effects = configuration.adopt(
+        state.configuration,
+        event.revision,
+        event.body,
+        state.members,
+        now,
+    )
+    return effects + adopt_table(state, now)
+
+
+def adopt_table(state: NodeState, now: Millis) -> list[Effect]:
+    """Tell the policies about a new or newly accepted table."""
+    effects: list[Effect] = []
+    table = state.configuration.table
+    revision = state.configuration.revision
+    if table is not None and revision != state.table_revision:
+        state.table_revision = revision
+        before = state.keys
+        state.keys = KeyRing(table)
+        state.call_rows = {row.name: row for row in table.calls}
+        state.workspace_rows = {row.name: row for row in table.workspaces}
+        limits = rate_table(table, revision)
+        rates.set_limits(state.rates, limits, now)
+        exchange.set_table(state.exchange, limits)
+        membership.set_revision(state.membership, revision)
+        withdrawn = before.workspaces.keys() - state.keys.workspaces.keys()
+        effects += hops.withdraw_keys(state, frozenset(withdrawn), now)
+    accepted = state.configuration.accepted
+    if accepted != state.accepted_revision:
+        state.accepted_revision = accepted
+        rates.accept_limits(state.rates, accepted, now)
+    return effects
+
+
+def store_answered(
+    state: NodeState,
+    event: StoreAnswered,
+    now: Millis,
+) -> list[Effect]:
+    """React to answers of the platform that concern the node itself."""
+    return []
+
+
+def stop(state: NodeState, now: Millis) -> list[Effect]:
+    """Begin a graceful stop: no new work, hand over what the node holds."""
+    if state.stopping:
+        return []
+    state.stopping = True
+    effects: list[Effect] = [RecordEvent(EventKind.node_stopping, {})]
+    effects += hops.drain(state, now)
+    effects += membership.leave(state.membership, now)
+    effects += idempotency.stop(state.claims, now)
+    return effects
+
+
+def is_idle(state: NodeState) -> bool:
+    """Tell whether no call is open and nothing is left to hand over."""
+    busy = state.calls or state.running or state.pending_hops
+    return not busy and not idempotency.owns_any(state.claims)
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -52,6 +52,7 @@
     'accept_hints',
     'accept_limits',
     'accept_loan',
+    'describe_excess',
     'expire',
     'lend',
     'pending_messages',
@@ -165,14 +166,7 @@
 ) -> TakeResult:
     borrower = state.borrowers[bucket.identity]
     if now < borrower.exhausted_until or state.exchange is None:
-        limit = state.tables[-1].limits.get(bucket.identity)
-        missing = 1 - bucket.tokens
-        return RateExceeded(
-            bucket.identity,
-            bucket.held,
-            limit.per_second if limit else 0,
-            min(missing / bucket.rate if bucket.rate else NEVER, TERM_MS),
-        )
+        return describe_excess(state, bucket.identity)
     if not parked:
         borrower.park(now)
     state.asking.add(bucket.identity)
@@ -180,6 +174,19 @@
     return LoanWanted(bucket.identity, Millis(now + WAIT_MS))
 
 
+def describe_excess(state: RateState, name: BucketId) -> RateExceeded:
+    """Return the refusal of a call that found its bucket empty."""
+    bucket = state.buckets[name]
+    limit = state.tables[-1].limits.get(name)
+    missing = 1 - bucket.tokens
+    return RateExceeded(
+        name,
+        bucket.held,
+        limit.per_second if limit else 0,
+        min(missing / bucket.rate if bucket.rate else NEVER, TERM_MS),
+    )
+
+
 def expire(state: RateState, now: Millis) -> None:
     """End the shares whose time is over and the requests without answer."""
     for bucket in state.buckets.values():
--- /dev/null
+++ b/src/jasmineramp/reducer.py
@@ -0,0 +1,303 @@
+"""Dispatch every event of a node to the policies that react to it."""
+
+from collections.abc import Iterable
+from functools import singledispatch
+
+from jasmineramp import (
+    call_attempts,
+    calls,
+    configuration,
+    exchange,
+    hops,
+    idempotency,
+    membership,
+    propagation,
+    rates,
+    retries,
+)
+from jasmineramp.call_messages import (
+    AttemptEnded,
+    BackoffEnded,
+    CallArrived,
+    CallerLeft,
+    CancelCall,
+    HopArrived,
+    HopEnded,
+    StopRequested,
+    TableLoaded,
+    UpstreamAnnounced,
+)
+from jasmineramp.claim_messages import (
+    ClaimAnswer,
+    ClaimDecided,
+    ClaimOutcome,
+    ClaimRequest,
+    OutcomeAnswer,
+)
+from jasmineramp.clock import Millis
+from jasmineramp.effects import Effect, SendMessage
+from jasmineramp.events import Event, MessageReceived, Tick
+from jasmineramp.ids import NodeId
+from jasmineramp.membership_messages import MembershipMessage
+from jasmineramp.messages import Message
+from jasmineramp.rate_messages import (
+    DemandReport,
+    DomainSummary,
+    LenderHints,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+)
+from jasmineramp.retry_messages import RetryAnswer, RetryRequest
+from jasmineramp.state import NodeState
+from jasmineramp.store_messages import Role, StoreAnswered
+
+
+def reduce(state: NodeState, event: Event, now: Millis) -> list[Effect]:
+    """Change the state by an event and return the effects to perform."""
+    effects = _reduce(event, state, now)
+    return _settle(state, effects, now)
+
+
+def _settle(
+    state: NodeState,
+    effects: Iterable[Effect],
+    now: Millis,
+) -> list[Effect]:
+    """React to effects that concern the node itself."""
+    remaining: list[Effect] = []
+    for effect in effects:
+        if isinstance(effect, ClaimDecided):
+            decided = calls.decide_claim(state, effect, now)
+            remaining += _settle(state, decided, now)
+        elif isinstance(effect, SendMessage) and effect.node == state.node:
+            own = _receive(effect.message, state, state.node, now)
+            remaining += _settle(state, own, now)
+        else:
+            remaining.append(effect)
+    return remaining
+
+
+@singledispatch
+def _reduce(event: Event, state: NodeState, now: Millis) -> list[Effect]:
+    raise NotImplementedError(type(event))
+
+
+@_reduce.register
+def _(event: CallArrived, state: NodeState, now: Millis) -> list[Effect]:
+    return calls.arrive(state, event, now)
+
+
+@_reduce.register
+def _(event: HopArrived, state: NodeState, now: Millis) -> list[Effect]:
+    return hops.arrive(state, event, now)
+
+
+@_reduce.register
+def _(event: AttemptEnded, state: NodeState, now: Millis) -> list[Effect]:
+    return call_attempts.end_attempt(state, event, now)
+
+
+@_reduce.register
+def _(event: HopEnded, state: NodeState, now: Millis) -> list[Effect]:
+    return hops.finish(state, event.call_id, event.attempt, now)
+
+
+@_reduce.register
+def _(event: BackoffEnded, state: NodeState, now: Millis) -> list[Effect]:
+    return call_attempts.retry(state, event.call_id, now)
+
+
+@_reduce.register
+def _(event: CallerLeft, state: NodeState, now: Millis) -> list[Effect]:
+    return call_attempts.leave(state, event.call_id, now)
+
+
+@_reduce.register
+def _(event: UpstreamAnnounced, state: NodeState, now: Millis) -> list[Effect]:
+    return hops.announce(state, event.upstream, now)
+
+
+@_reduce.register
+def _(event: StopRequested, state: NodeState, now: Millis) -> list[Effect]:
+    return propagation.stop(state, now)
+
+
+@_reduce.register
+def _(event: TableLoaded, state: NodeState, now: Millis) -> list[Effect]:
+    return propagation.load_table(state, event, now)
+
+
+@_reduce.register
+def _(event: StoreAnswered, state: NodeState, now: Millis) -> list[Effect]:
+    if event.role is Role.claim:
+        return idempotency.answered(state.claims, event, now)
+    if event.role in {Role.configuration, Role.acknowledgement}:
+        effects = configuration.answered(
+            state.configuration,
+            event,
+            state.members,
+            now,
+        )
+        return effects + propagation.adopt_table(state, now)
+    return propagation.store_answered(state, event, now)
+
+
+@_reduce.register
+def _(event: Tick, state: NodeState, now: Millis) -> list[Effect]:
+    effects = membership.tick(state.membership, now)
+    effects += propagation.refresh(state, now)
+    effects += configuration.tick(
+        state.configuration,
+        state.members,
+        now,
+    )
+    effects += propagation.adopt_table(state, now)
+    effects += rates.tick(state.rates, now)
+    effects += exchange.tick(state.exchange, now)
+    effects += calls.resume_parked(state, now)
+    effects += idempotency.tick(state.claims, now)
+    effects += hops.tick(state, now)
+    for retry in retries.expire(state.retries, now):
+        effects.extend(
+            call_attempts.decide_retry(state, retry, now, granted=False),
+        )
+    return effects
+
+
+@_reduce.register
+def _(event: MessageReceived, state: NodeState, now: Millis) -> list[Effect]:
+    return _receive(event.message, state, event.sender, now)
+
+
+@singledispatch
+def _receive(
+    message: Message,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    if isinstance(message, MembershipMessage):
+        return membership.receive(state.membership, sender, message, now)
+    effects = configuration.receive(
+        state.configuration,
+        sender,
+        message,
+        state.members,
+        now,
+    )
+    return effects + propagation.adopt_table(state, now)
+
+
+@_receive.register(ClaimRequest)
+@_receive.register(ClaimAnswer)
+@_receive.register(ClaimOutcome)
+@_receive.register(OutcomeAnswer)
+def _(
+    message: Message,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return idempotency.receive(state.claims, sender, message, now)
+
+
+@_receive.register
+def _(
+    message: CancelCall,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return hops.cancel(state, message.call_id, now)
+
+
+@_receive.register
+def _(
+    message: RetryRequest,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    return [SendMessage(sender, retries.answer(state.retries, message, now))]
+
+
+@_receive.register
+def _(
+    message: RetryAnswer,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    granted = retries.accept_answer(state.retries, message, now)
+    if granted is None:
+        return []
+    retry = retries.Retry(message.call_id, message.attempt)
+    return call_attempts.decide_retry(state, retry, now, granted=granted)
+
+
+@_receive.register
+def _(
+    message: DemandReport,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    hints = exchange.receive_report(state.exchange, sender, message, now)
+    return [] if hints is None else [SendMessage(sender, hints)]
+
+
+@_receive.register
+def _(
+    message: DomainSummary,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    exchange.receive_summary(state.exchange, message, now)
+    return []
+
+
+@_receive.register
+def _(
+    message: LenderHints,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    rates.accept_hints(state.rates, message, now)
+    return list(rates.pending_messages(state.rates, now))
+
+
+@_receive.register
+def _(
+    message: LoanRequest,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    loan = rates.lend(state.rates, sender, message, now)
+    return [] if loan is None else [SendMessage(sender, loan)]
+
+
+@_receive.register
+def _(
+    message: Loan,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    rates.accept_loan(state.rates, sender, message, now)
+    effects: list[Effect] = list(rates.pending_messages(state.rates, now))
+    return effects + calls.resume_parked(state, now)
+
+
+@_receive.register
+def _(
+    message: LoanReturn,
+    state: NodeState,
+    sender: NodeId,
+    now: Millis,
+) -> list[Effect]:
+    rates.return_loan(state.rates, sender, message, now)
+    return []
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -5,10 +5,9 @@
 from bisect import bisect
 from collections.abc import Iterable
 
-import msgspec
-
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
+from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
 from jasmineramp.routing_targets import SLOW_START_MS, Pool, Service, Target
 
@@ -39,17 +38,6 @@
     cancelled = 'cancelled'
 
 
-class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """Carry the load that an instance node reports with a response.
-
-    The shed level is the importance below which the instance refuses calls.
-    """
-
-    queued: int = 0
-    shed_level: int = 0
-    healthy: bool = True
-
-
 class RoutingState:
     """Hold what one entry node knows about the instances of all services."""
 
@@ -183,6 +171,19 @@
         _take_failure(service, target, now)
 
 
+def has_other(
+    state: RoutingState,
+    service_name: ServiceName,
+    exclude: frozenset[NodeId],
+) -> bool:
+    """Tell whether a ready instance is left that is not excluded."""
+    service = state.services.get(service_name)
+    return service is not None and any(
+        target.is_ready() and node not in exclude
+        for node, target in service.targets.items()
+    )
+
+
 def refuses(
     state: RoutingState,
     service_name: ServiceName,
--- /dev/null
+++ b/src/jasmineramp/settings.py
@@ -0,0 +1,103 @@
+"""Read the settings file of a node: JSON with comments."""
+
+import pathlib
+
+import json5
+import msgspec
+
+from jasmineramp.exceptions import SettingsError
+from jasmineramp.ids import DomainId, NodeId
+
+_REMEDY = 'see examples/node.json5 for every field'
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one node; addresses are host:port.
+
+    Failure domains are listed in the same order on all nodes. Without a
+    platform, the table is read from the table file and kept in memory.
+    """
+
+    node: NodeId
+    domain: DomainId
+    domains: tuple[DomainId, ...]
+    caller: str
+    peer: str
+    operator: str
+    platform: str = ''
+    table: str = ''
+    seeds: tuple[str, ...] = ()
+    caller_threads: int = 128
+    run_threads: int = 192
+    largest_body_bytes: int = 32 * 1024 * 1024
+    statsd: str = ''
+    log_level: str = 'info'
+    stop_after_ms: float = 30_000
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Return the checked settings; raise SettingsError naming the place."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), str(error), _REMEDY) from None
+    try:
+        raw = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(str(path), str(error), _REMEDY) from None
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(str(path), str(error), _REMEDY) from None
+    _check(path, settings)
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _check(path: pathlib.Path, settings: Settings) -> None:
+    for name in ('caller', 'peer', 'operator', 'platform', 'statsd'):
+        address = getattr(settings, name)
+        if address:
+            _check_address(path, name, address)
+    for seed in settings.seeds:
+        _check_address(path, 'seeds', seed)
+    if not settings.node:
+        raise SettingsError(
+            f'{path}: node',
+            'is empty',
+            'give each node a name of its own',
+        )
+    if settings.domain not in settings.domains:
+        raise SettingsError(
+            f'{path}: domain',
+            f'{settings.domain!r} is not one of domains',
+            'list every failure domain in domains',
+        )
+    for name in ('caller_threads', 'run_threads', 'largest_body_bytes'):
+        if getattr(settings, name) < 1:
+            raise SettingsError(
+                f'{path}: {name}',
+                f'{getattr(settings, name)} is under 1',
+                'use a whole number of at least 1',
+            )
+    if not settings.platform and not settings.table:
+        raise SettingsError(
+            f'{path}: table',
+            'neither platform nor table is named',
+            'name the platform, or a table file to keep in memory',
+        )
+
+
+def _check_address(path: pathlib.Path, name: str, address: str) -> None:
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise SettingsError(
+            f'{path}: {name}',
+            f'{address!r} is not host:port',
+            'write an IP address and a port, for example 10.0.0.7:8080',
+        )
--- /dev/null
+++ b/src/jasmineramp/state.py
@@ -0,0 +1,118 @@
+"""Hold the whole state of a node; the node actor owns it."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Mapping
+
+import msgspec
+
+from jasmineramp.admission import AdmissionState
+from jasmineramp.authentication import KeyRing
+from jasmineramp.call_messages import Attempt, CallArrived, CallHeader
+from jasmineramp.clock import ORIGIN, Millis
+from jasmineramp.configuration_state import (
+    NO_REVISION,
+    ConfigurationState,
+    Members,
+    make_members,
+)
+from jasmineramp.exchange import ExchangeState
+from jasmineramp.idempotency import ClaimState
+from jasmineramp.ids import (
+    CallId,
+    ContextToken,
+    DomainId,
+    NodeId,
+    RowName,
+    WorkspaceId,
+)
+from jasmineramp.membership_messages import Instance, Upstream
+from jasmineramp.membership_state import MembershipState
+from jasmineramp.rates import RateState
+from jasmineramp.retries import Retry, RetryState
+from jasmineramp.routing import RoutingState
+from jasmineramp.table import CallRow, WorkspaceRow
+
+
+class EntryCall(msgspec.Struct):
+    """Hold a call that entered the fleet or went onward at this node."""
+
+    arrived: CallArrived
+    header: CallHeader
+    row: CallRow
+    deadline: Millis
+    attempts: int = 0
+    instance: Instance | None = None
+    tried: frozenset[NodeId] = frozenset()
+    attempt_id: CallId = CallId('')
+    waits_until: Millis | None = None
+    claimed: bool = False
+    asks_repeat: bool = False
+    failure: Attempt | None = None
+    delay: Millis = ORIGIN
+
+
+class RunningCall(msgspec.Struct):
+    """Hold a call that the own upstream runs."""
+
+    header: CallHeader
+    deadline: Millis
+    context: ContextToken
+
+
+class PendingHop(msgspec.Struct):
+    """Hold an attempt at the own instance until it is started.
+
+    The waiter is the id under which a thread waits for the decision.
+    """
+
+    header: CallHeader
+    nonce: str
+    deadline: Millis
+    waiter: CallId
+
+
+class NodeState:
+    """Hold the state of all policies of one node."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        domain: DomainId,
+        rng: random.Random,
+        *,
+        membership: MembershipState,
+        configuration: ConfigurationState,
+        routing: RoutingState,
+        rates: RateState,
+        exchange: ExchangeState,
+        claims: ClaimState,
+    ) -> None:
+        self.node = node
+        self.domain = domain
+        self.random = rng
+        self.membership = membership
+        self.configuration = configuration
+        self.routing = routing
+        self.rates = rates
+        self.exchange = exchange
+        self.claims = claims
+        self.retries = RetryState()
+        self.admission: AdmissionState | None = None
+        self.upstream: Upstream | None = None
+        self.keys = KeyRing()
+        self.call_rows: Mapping[RowName, CallRow] = {}
+        self.workspace_rows: Mapping[WorkspaceId, WorkspaceRow] = {}
+        self.calls: dict[CallId, EntryCall] = {}
+        self.parked: OrderedDict[CallId, None] = OrderedDict()
+        self.pending_hops: dict[CallId, PendingHop] = {}
+        self.running: dict[CallId, RunningCall] = {}
+        self.contexts: dict[ContextToken, RunningCall] = {}
+        self.recent_hops: OrderedDict[CallId, None] = OrderedDict()
+        self.charges: dict[Retry, CallId] = {}
+        self.stopping = False
+        self.members: Members = make_members(node, (), {})
+        self.alive: dict[NodeId, DomainId] = {}
+        self.refresh_at = ORIGIN
+        self.table_revision = NO_REVISION
+        self.accepted_revision = NO_REVISION
