--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -118,6 +118,17 @@
             self.start_upstream(index)
         self.import_table(table)
 
+    def start_without_platform(self, table: str) -> None:
+        """Start everything with the table in a file of each node."""
+        path = self.folder / 'table.json5'
+        path.write_text(table, encoding='utf-8')
+        for index in range(len(self.instances)):
+            self.start_node(
+                index, platform='', table=str(path), rate_slot=index
+            )
+        for index in range(len(self.instances)):
+            self.start_upstream(index)
+
     def import_table(self, table: str) -> None:
         """Put a table file in force through the operator command."""
         path = self.folder / 'table.json5'
--- a/src/jasmineramp/call_messages.py
+++ b/src/jasmineramp/call_messages.py
@@ -139,6 +139,7 @@
 
     revision: Revision
     body: bytes
+    rate_slot: int
 
 
 class CallDecision(msgspec.Struct, frozen=True):
--- a/src/jasmineramp/gateway.py
+++ b/src/jasmineramp/gateway.py
@@ -3,7 +3,7 @@
 import secrets
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -51,7 +51,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1)]
     connections: Annotated[int, msgspec.Meta(ge=1)]
     weight: Annotated[float, msgspec.Meta(gt=0)] = 1
-    state: UpstreamState = UpstreamState.ready
+    state: Literal['starting', 'ready', 'draining'] = 'ready'
 
 
 class Gateway:
@@ -159,7 +159,7 @@
             announcement.slots,
             announcement.connections,
             announcement.weight,
-            announcement.state,
+            UpstreamState[announcement.state],
         )
         self.announce(upstream)
         return _send_json(HTTPStatus.OK, {'node': self.node}, start_response)
--- a/src/jasmineramp/hops.py
+++ b/src/jasmineramp/hops.py
@@ -52,7 +52,7 @@
             EventKind.upstream_changed,
             {
                 'upstream': upstream.service,
-                'state': upstream.state.value,
+                'state': upstream.state.name,
                 'slots': upstream.slots,
             },
         ),
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -118,7 +118,8 @@
 
     def load_table(self, revision: Revision, body: bytes) -> None:
         """Put a table from a file in force."""
-        self.actor.ask(Delivery(TableLoaded(revision, body)))
+        loaded = TableLoaded(revision, body, self.settings.rate_slot)
+        self.actor.ask(Delivery(loaded))
 
     def stop(self) -> None:
         """Stop gracefully: finish calls, hand over, then close."""
--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -16,7 +16,8 @@
 from jasmineramp.effects import Effect, EventKind, RecordEvent
 from jasmineramp.exchange import RateMember
 from jasmineramp.ids import DomainId, NodeId
-from jasmineramp.rates import rate_table
+from jasmineramp.rate_buckets import NEVER
+from jasmineramp.rates import SlotLease, rate_table
 from jasmineramp.state import NodeState
 from jasmineramp.store_messages import StoreAnswered
 
@@ -84,7 +85,10 @@
     event: TableLoaded,
     now: Millis,
 ) -> list[Effect]:
-    """Put a table from a file in force."""
+    """Put a table from a file in force; the rate slot never lapses."""
+    lease = SlotLease(event.rate_slot, NEVER, fresh=True)
+    rates.set_slot(state.rates, lease, now)
+    membership.set_rate_slot(state.membership, event.rate_slot, now)
     effects = configuration.adopt(
         state.configuration,
         event.revision,
--- a/src/jasmineramp/settings.py
+++ b/src/jasmineramp/settings.py
@@ -15,7 +15,8 @@
     """Hold the settings of one node; addresses are host:port.
 
     Failure domains are listed in the same order on all nodes. Without a
-    platform, the table is read from the table file and kept in memory.
+    platform, the table is read from the table file and kept in memory, and
+    the rate slot, which must differ between nodes, is that of the settings.
     """
 
     node: NodeId
@@ -26,6 +27,7 @@
     operator: str
     platform: str = ''
     table: str = ''
+    rate_slot: int = 0
     seeds: tuple[str, ...] = ()
     caller_threads: int = 128
     run_threads: int = 192
