Apply the events of calls on their own threads

Cause: every step of a call was handed to the thread of the actor and back. Change: the dispatcher owns the state behind one lock; threads of calls apply their events themselves, the actor takes all others.

--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import pykka
@@ -27,6 +27,7 @@
 TICK_MS = 50
 
 Waiter = Callable[[CallDecision], None]
+_ResultT = TypeVar('_ResultT')
 
 
 class Performer(Protocol):
@@ -56,16 +57,12 @@
     waiter: Waiter | None = None
 
 
-class Inspection(msgspec.Struct, frozen=True):
-    """Ask the actor to evaluate a function of its state."""
+class Dispatcher:
+    """Apply events to the state, one at a time, and perform the effects.
 
-    function: Callable[[NodeState], Any]
-
-
-class NodeActor(pykka.ThreadingActor):
-    """Apply events to the state, one at a time, and perform the effects."""
-
-    use_daemon_thread = True
+    Threads that run calls apply their events themselves: handing them to the
+    thread of the actor costs about 0.1 ms a call.
+    """
 
     def __init__(
         self,
@@ -73,24 +70,27 @@
         clock: Clock,
         performer: Performer,
     ) -> None:
-        super().__init__()
         self.state = state
         self.clock = clock
         self.performer = performer
+        self.lock = threading.Lock()
         self.waiters: dict[CallId, Waiter] = {}
 
-    def on_receive(self, message: Any) -> Any:
-        """Handle one delivery or inspection."""
-        if isinstance(message, Inspection):
-            return message.function(self.state)
-        if message.waiter is not None:
-            self.waiters[message.call_id] = message.waiter
-        if isinstance(message.event, CallerLeft):
-            self.waiters.pop(message.event.call_id, None)
-        effects = reduce(self.state, message.event, self.clock.now())
-        for effect in effects:
-            self.perform(effect)
-        return None
+    def apply(self, delivery: Delivery) -> None:
+        """Apply one event and perform its effects."""
+        with self.lock:
+            if delivery.waiter is not None:
+                self.waiters[delivery.call_id] = delivery.waiter
+            if isinstance(delivery.event, CallerLeft):
+                self.waiters.pop(delivery.event.call_id, None)
+            effects = reduce(self.state, delivery.event, self.clock.now())
+            for effect in effects:
+                self.perform(effect)
+
+    def inspect(self, function: Callable[[NodeState], _ResultT]) -> _ResultT:
+        """Evaluate a function of the state."""
+        with self.lock:
+            return function(self.state)
 
     @singledispatchmethod
     def perform(self, effect: Effect) -> None:
@@ -120,6 +120,20 @@
         self.performer.cancel_run(effect.call_id)
 
 
+class NodeActor(pykka.ThreadingActor):
+    """Take the events that no call waits for, in the order they arrive."""
+
+    use_daemon_thread = True
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        super().__init__()
+        self.dispatcher = dispatcher
+
+    def on_receive(self, message: Any) -> Any:
+        """Apply one delivery."""
+        self.dispatcher.apply(message)
+
+
 class Ticker:
     """Send a tick every 50 ms, but never a second one before the first."""
 
--- a/src/jasmineramp/call_runner.py
+++ b/src/jasmineramp/call_runner.py
@@ -1,4 +1,4 @@
-"""Run calls: ask the actor for each step and move the bytes."""
+"""Run calls: apply an event for each step and move the bytes."""
 
 import queue
 import secrets
@@ -9,9 +9,8 @@
 from functools import singledispatchmethod
 
 import msgspec
-import pykka
 
-from jasmineramp.actors import Delivery, NodeActor
+from jasmineramp.actors import Delivery, Dispatcher
 from jasmineramp.call_messages import (
     Attempt,
     AttemptEnded,
@@ -73,7 +72,7 @@
 
     def __init__(
         self,
-        actor: pykka.ActorRef[NodeActor],
+        dispatcher: Dispatcher,
         clock: Clock,
         *,
         upstream: UpstreamClient,
@@ -81,7 +80,7 @@
         executor: Executor,
         peer_address: str,
     ) -> None:
-        self.actor = actor
+        self.dispatcher = dispatcher
         self.clock = clock
         self.upstream = upstream
         self.network = network
@@ -124,7 +123,7 @@
                 self._answer(message, UpstreamResult(attempt))
 
         event = HopArrived(header, secrets.token_hex(16))
-        self.actor.tell(Delivery(event, header.call_id, decide))
+        self.dispatcher.apply(Delivery(event, header.call_id, decide))
 
     def accept_answer(self, message: HopAnswer) -> None:
         """Hand the answer of a peer to the thread that waits for it.
@@ -155,7 +154,7 @@
     ) -> CallDecision | CallResult:
         decisions: queue.SimpleQueue[CallDecision] = queue.SimpleQueue()
         delivery = Delivery(event, progress.call_id, decisions.put)
-        self.actor.tell(delivery)
+        self.dispatcher.apply(delivery)
         while True:
             try:
                 return decisions.get(timeout=POLL_SECONDS)
@@ -164,7 +163,7 @@
                     return self._leave(progress)
 
     def _leave(self, progress: _Progress) -> Refusal:
-        self.actor.tell(Delivery(CallerLeft(progress.call_id)))
+        self.dispatcher.apply(Delivery(CallerLeft(progress.call_id)))
         return Refusal(RefusalCode.cancelled, RunState.unknown)
 
     @singledispatchmethod
@@ -249,7 +248,7 @@
             kept = msgspec.msgpack.encode(response)
             attempt = msgspec.structs.replace(attempt, response=kept)
         event = AttemptEnded(progress.call_id, attempt)
-        self.actor.tell(Delivery(event))
+        self.dispatcher.apply(Delivery(event))
         return response
 
     def _forward(
@@ -295,7 +294,7 @@
 
     def _run_hop(self, decision: RunHere, message: HopRequest) -> None:
         result = self.upstream.run(decision, message.request)
-        self.actor.tell(
+        self.dispatcher.apply(
             Delivery(HopEnded(decision.header.call_id, result.attempt))
         )
         self._answer(message, result)
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -12,7 +12,7 @@
 from waitress.server import create_server
 
 from jasmineramp import membership, propagation
-from jasmineramp.actors import Delivery, Inspection, NodeActor, Ticker
+from jasmineramp.actors import Delivery, Dispatcher, NodeActor, Ticker
 from jasmineramp.call_messages import (
     StopRequested,
     TableLoaded,
@@ -128,7 +128,7 @@
             self.settings.stop_after_ms / _MILLIS_PER_SECOND
         )
         while time.monotonic() < until:
-            if self.actor.ask(Inspection(propagation.is_idle)):
+            if self.dispatcher.inspect(propagation.is_idle):
                 break
             time.sleep(IDLE_POLL_SECONDS)
         self.close()
@@ -179,12 +179,13 @@
             self._report_message_error,
         )
         self.stack.callback(self.network.close)
-        self.actor = NodeActor.start(self.state, self.clock, self)
+        self.dispatcher = Dispatcher(self.state, self.clock, self)
+        self.actor = NodeActor.start(self.dispatcher)
         self.stack.callback(self.actor.stop, block=False)
         self.ticker = Ticker(self.actor)
         self.stack.callback(self.ticker.close)
         self.runner = CallRunner(
-            self.actor,
+            self.dispatcher,
             self.clock,
             upstream=self.upstream,
             network=self.network,
