Reset the failure count and stale owner names after recovery

Cause: after an outage the owner kept refusing new claims as unavailable, since the failure count was only reset by the next write; a node that was no candidate any more kept asking the owner it had polled last. Both were found by the liveness check of the state machine (300 examples, derandomized).

--- a/src/jasmineramp/claim_owner.py
+++ b/src/jasmineramp/claim_owner.py
@@ -107,6 +107,13 @@
         """Return the owner if it is known to be another node."""
         return NodeId('') if self.owner == self.settings.node else self.owner
 
+    def set_rank(self, rank: int | None) -> None:
+        """Note the node's place among the candidates, None for no place."""
+        self.rank = rank
+        if rank is None and not self.ready:
+            # Without polling the name of the owner would never be corrected.
+            self.owner = NodeId('')
+
     def tick(self, now: Millis) -> list[Effect]:
         """Let time pass."""
         effects = self.step.tick(now) + self.renewal.tick(now)
@@ -221,6 +228,8 @@
         self.phase = Phase.idle
         self.poll_at = later(now, self.random.uniform(POLL_MS / 2, POLL_MS))
         self.owner = NodeId('')
+        if self.rank is None:
+            return []
         if answer.revision and answer.body is not None:
             self.owner = decode_owner(answer.body).node
             self.absent_since = None
@@ -228,9 +237,7 @@
         if self.absent_since is None:
             self.absent_since = now
         absent_ms = now - self.absent_since
-        if self.rank is None or (
-            self.rank and absent_ms < SECOND_DOMAIN_WAIT_MS
-        ):
+        if self.rank and absent_ms < SECOND_DOMAIN_WAIT_MS:
             return []
         return self._begin(now)
 
--- a/src/jasmineramp/idempotency.py
+++ b/src/jasmineramp/idempotency.py
@@ -191,10 +191,11 @@
         ]
         nodes = [lowest[domain] for domain in ranked[:CANDIDATES]]
         state.candidates[partition] = nodes
-        owner.rank = None
+        rank = None
         if state.settings.node in nodes and not state.stopping:
-            owner.rank = nodes.index(state.settings.node)
+            rank = nodes.index(state.settings.node)
             state.active.add(partition)
+        owner.set_rank(rank)
         if ranked and ranked[0] != state.settings.domain:
             state.displaced.add(partition)
     return []
--- a/src/jasmineramp/store_steps.py
+++ b/src/jasmineramp/store_steps.py
@@ -60,6 +60,8 @@
         self.operation = None
         self.tag = ''
         self.retry_at = None
+        # Callers read the count to tell whether the store takes writes.
+        self.failures = 0
 
     def answered(
         self, event: StoreAnswered, now: Millis
--- a/tests/fakes/claims.py
+++ b/tests/fakes/claims.py
@@ -32,6 +32,7 @@
 from tests.fakes.store import FakeStore
 
 TICK_MS = 50.0
+VIEW_MS = 3000.0
 STORE_TIMEOUT_MS = 2000.0
 WORKSPACE = WorkspaceId('studio')
 DOMAINS = (DomainId('a'), DomainId('b'))
@@ -97,7 +98,13 @@
         self.nodes.pop(node, None)
 
     def update_views(self) -> None:
-        alive = {node: self.places[node] for node in self.nodes}
+        """Show each node the processes that run and are not cut off."""
+        self.views_at = self.clock.now() + VIEW_MS
+        alive = {
+            node: self.places[node]
+            for node, process in self.nodes.items()
+            if not process.paused and node not in self.network.cut
+        }
         for process in self.nodes.values():
             idempotency.set_members(process.state, alive, self.clock.now())
 
@@ -129,6 +136,8 @@
     def advance(self, duration: float, tick: float = TICK_MS) -> None:
         end = self.clock.now() + duration
         while self.clock.now() < end:
+            if self.clock.now() >= self.views_at:
+                self.update_views()
             for node, process in list(self.nodes.items()):
                 self.handle(node, process, ('tick',))
             self.run_due(min(end, self.clock.now() + tick))
@@ -254,10 +263,9 @@
         decided = self.decided.get(call_id)
         return decided.verdict if decided else None
 
-    def owner(self) -> NodeId:
-        """Return a node that serves the first partition."""
-        return next(
-            node
-            for node, process in self.nodes.items()
-            if process.state.owners[0].ready
-        )
+    def owner(self, partition: int = 0) -> NodeId | None:
+        """Return a node that serves a partition."""
+        for node, process in self.nodes.items():
+            if process.state.owners[partition].ready:
+                return node
+        return None
