--- a/src/jasmineramp/claim_table.py
+++ b/src/jasmineramp/claim_table.py
@@ -105,7 +105,8 @@
         claim = self.tokens.pop(token, None)
         if claim is None:
             return None
-        self.open.pop(claim.key)
+        if self.open.get(claim.key) is claim:
+            self.open.pop(claim.key)
         if end is ClaimEnd.not_run:
             return claim
         self._keep(claim.key, claim.body, status if _is_done(end) else 0)
--- a/tests/fakes/claims.py
+++ b/tests/fakes/claims.py
@@ -45,6 +45,7 @@
     duplicates: float = 0
     delay_ms: float = 1
     store_delay_ms: float = 2
+    unknown_after_ms: float = STORE_TIMEOUT_MS
     late_writes: int = 0
     cut: set[NodeId] = msgspec.field(default_factory=set)
 
@@ -112,6 +113,7 @@
         self,
         node: NodeId,
         key: str,
+        *,
         end: ClaimEnd = ClaimEnd.done,
         duration: float = 100,
         deadline: float = 2000,
@@ -179,11 +181,13 @@
         self.perform(node, process, effects)
 
     def resume(self, node: NodeId) -> None:
+        """Handle what queued up, also at the store, before the next tick."""
         process = self.nodes[node]
         process.paused = False
         backlog, process.backlog = process.backlog, []
         for item in backlog:
             self.handle(node, process, item)
+        self.run_due(self.clock.now() + 20)
 
     def perform(self, node: NodeId, process: Node, effects: Any) -> None:
         for effect in effects:
@@ -241,7 +245,7 @@
         )
         delay = self.random.uniform(0, self.network.store_delay_ms)
         if answer.outcome is Outcome.unknown:
-            delay += STORE_TIMEOUT_MS
+            delay += self.network.unknown_after_ms
         self.post(delay, node, process, ('answer', event))
 
     def decide(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,6 +1,8 @@
 """Test that a claimed call runs at most once, whatever fails."""
 
 import unittest
+from typing import Any
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -9,13 +11,11 @@
 from jasmineramp import idempotency
 from jasmineramp.claim_log import log_key
 from jasmineramp.claim_messages import ClaimEnd, ClaimVerdict
-from jasmineramp.claim_settings import HAND_BACK_MS, RECORDS_PER_PERIOD
+from jasmineramp.claim_settings import HAND_BACK_MS
 from jasmineramp.claim_table import HOUR_MS
-from jasmineramp.effects import SendMessage
 from jasmineramp.ids import DomainId, NodeId, PartitionId
 from jasmineramp.refusals import RefusalCode
-from jasmineramp.store_messages import CompareAndSwap, StoreRequest
-from tests.fakes.claims import ClaimFleet, Network
+from tests.fakes.claims import STORE_TIMEOUT_MS, ClaimFleet, Network
 from tests.fakes.store import Faults
 
 START_MS = 4000.0
@@ -25,6 +25,14 @@
 KEYS = st.sampled_from(['k0', 'k1'])
 ENDS = st.sampled_from([ClaimEnd.done, ClaimEnd.done, ClaimEnd.not_run])
 
+NETWORKS = st.builds(
+    Network,
+    loss=st.sampled_from([0, 0.5]),
+    duplicates=st.just(0.5),
+    delay_ms=st.sampled_from([1, 700, 3000]),
+    cut=st.sets(NODES, max_size=1),
+)
+
 
 class ClaimMachine(RuleBasedStateMachine):
     """Mix calls with crashes, pauses, lost answers and outages."""
@@ -39,7 +47,7 @@
         self, node: NodeId, key: str, end: ClaimEnd, duration: float
     ) -> None:
         if node in self.fleet.nodes:
-            self.fleet.call(node, key, end, duration)
+            self.fleet.call(node, key, end=end, duration=duration)
             self.fleet.advance(100)
 
     @rule(duration=st.sampled_from([20, 1100, 7000]))
@@ -57,6 +65,10 @@
         if crash:
             self.fleet.crash(owner)
         self.fleet.advance(wait)
+        for node, process in list(self.fleet.nodes.items()):
+            if not process.paused:
+                self.fleet.call(node, key)
+                self.fleet.advance(500)
 
     @rule(node=NODES, wait=st.sampled_from([20, 2500]))
     def crash(self, node: NodeId, wait: float) -> None:
@@ -75,42 +87,42 @@
     @rule(
         node=NODES,
         key=KEYS,
-        loss=st.sampled_from([0, 0.5]),
-        delay=st.sampled_from([1, 700, 3000]),
-        cut=st.sets(NODES, max_size=1),
+        network=NETWORKS,
         wait=st.sampled_from([150, 2500]),
     )
     def disturb_network(
-        self,
-        node: NodeId,
-        key: str,
-        loss: float,
-        delay: float,
-        cut: set[NodeId],
-        wait: float,
+        self, node: NodeId, key: str, network: Network, wait: float
     ) -> None:
-        self.fleet.network = Network(loss, 0.5, delay, cut=cut)
+        self.fleet.network = network
         if node in self.fleet.nodes:
             self.fleet.call(node, key)
         self.fleet.advance(wait)
         self.fleet.network = Network()
 
     @rule(
-        node=NODES,
         key=KEYS,
-        answers=st.integers(0, 2),
-        requests=st.integers(0, 2),
-        late=st.integers(0, 2),
+        faults=st.tuples(*[st.integers(0, 2)] * 3),
+        unknown_after_ms=st.sampled_from([0, STORE_TIMEOUT_MS]),
+        crash=st.booleans(),
     )
     def lose_writes(
-        self, node: NodeId, key: str, answers: int, requests: int, late: int
+        self,
+        key: str,
+        faults: tuple[int, int, int],
+        unknown_after_ms: float,
+        crash: bool,
     ) -> None:
-        self.fleet.store.faults.lose_answers = answers
-        self.fleet.store.faults.lose_requests = requests
-        self.fleet.network.late_writes = late
-        if node in self.fleet.nodes:
+        store = self.fleet.store.faults
+        store.lose_answers, store.lose_requests, late = faults
+        self.fleet.network = Network(
+            late_writes=late, unknown_after_ms=unknown_after_ms
+        )
+        for node in list(self.fleet.nodes):
             self.fleet.call(node, key)
-        self.fleet.advance(1100)
+            self.fleet.advance(500)
+        owner = self.fleet.owner()
+        if crash and owner is not None:
+            self.fleet.crash(owner)
 
     @rule(duration=st.sampled_from([300, 7000]))
     def take_store_down(self, duration: float) -> None:
@@ -139,5 +151,207 @@
 
 ClaimMachineTest = ClaimMachine.TestCase
 ClaimMachineTest.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None
+    max_examples=200, stateful_step_count=40, deadline=None
 )
+
+
+class ClaimCase(unittest.TestCase):
+    """Drive three nodes of one failure domain."""
+
+    def setUp(self) -> None:
+        self.fleet = ClaimFleet(nodes=3, domains=DOMAINS)
+        self.fleet.advance(START_MS)
+
+    def ask(self, key: str = 'k', node: str = 'n1', **options: Any) -> Any:
+        """Return the decision on a call, None while it is undecided."""
+        call_id = self.fleet.call(NodeId(node), key, **options)
+        self.fleet.advance(1100 if self.fleet.store.faults.down else 300)
+        return self.fleet.decided.get(call_id)
+
+    def replace_owner(self) -> None:
+        self.fleet.crash(self.fleet.owner())
+        self.fleet.advance(FAILOVER_MS)
+
+    def assert_verdict(self, verdict: ClaimVerdict, **options: Any) -> None:
+        self.assertEqual(self.ask(**options).verdict, verdict)
+
+
+class RepeatTest(ClaimCase):
+    """Guard against a repeated call that runs or gets a wrong answer."""
+
+    def test_repeat_gets_the_state_of_the_first_call(self) -> None:
+        self.assert_verdict(ClaimVerdict.granted, duration=1000)
+        running = self.ask(node='n2')
+        self.assertEqual(running.verdict, ClaimVerdict.running)
+        refusal = idempotency.describe_refusal(running)
+        self.assertEqual(refusal.code, RefusalCode.claim_running)
+        self.assert_verdict(ClaimVerdict.reused, body=b'other')
+        self.fleet.advance(1000)
+        ran = self.ask(node='n2')
+        self.assertEqual(
+            (ran.verdict, ran.status, ran.response),
+            (ClaimVerdict.ran, 201, b'response'),
+        )
+        self.assert_verdict(ClaimVerdict.reused, body=b'other')
+
+    def test_new_owner_knows_what_ran(self) -> None:
+        self.ask(node='n2')
+        self.replace_owner()
+        ran = self.ask()
+        self.assertEqual((ran.verdict, ran.status), (ClaimVerdict.ran, 201))
+        self.assert_verdict(ClaimVerdict.reused, body=b'other')
+
+    def test_released_claim_is_granted_again(self) -> None:
+        self.assert_verdict(ClaimVerdict.granted, end=ClaimEnd.not_run)
+        self.assert_verdict(ClaimVerdict.granted)
+        self.assert_verdict(ClaimVerdict.ran)
+
+    def test_lost_claimant_leaves_the_outcome_unknown(self) -> None:
+        self.ask(node='n2', duration=5000)
+        self.fleet.crash(NodeId('n2'))
+        self.assert_verdict(ClaimVerdict.running)
+        self.fleet.advance(2000)
+        self.assert_verdict(ClaimVerdict.unknown)
+        self.replace_owner()
+        self.assert_verdict(ClaimVerdict.unknown)
+
+    def test_late_report_replaces_the_unknown_outcome(self) -> None:
+        self.ask(node='n2', duration=5000)
+        self.fleet.advance(3000)
+        self.assert_verdict(ClaimVerdict.unknown)
+        self.fleet.advance(3000)
+        self.assert_verdict(ClaimVerdict.ran)
+
+    def test_outage_refuses_and_ends(self) -> None:
+        self.fleet.store.faults.down = True
+        self.assert_verdict(ClaimVerdict.unavailable)
+        self.assert_verdict(ClaimVerdict.unavailable, key='k2')
+        self.fleet.store.faults.down = False
+        self.fleet.advance(FAILOVER_MS)
+        self.assert_verdict(ClaimVerdict.granted)
+
+    def test_failed_writes_before_recovery_do_not_block_new_claims(
+        self,
+    ) -> None:
+        self.assert_verdict(ClaimVerdict.granted, duration=500)
+        self.fleet.store.faults.down = True
+        self.fleet.advance(1100)
+        self.fleet.store.faults.down = False
+        self.fleet.advance(4000)
+        self.assert_verdict(ClaimVerdict.granted, key='k2')
+
+
+class FencingTest(ClaimCase):
+    """Guard against two owners that both grant a claim."""
+
+    def test_paused_owner_cannot_append(self) -> None:
+        owner = self.fleet.owner()
+        self.fleet.nodes[owner].paused = True
+        late = self.fleet.call(owner, 'k')
+        self.fleet.advance(FAILOVER_MS)
+        self.assert_verdict(ClaimVerdict.granted, node='n1')
+        self.fleet.resume(owner)
+        self.fleet.advance(FAILOVER_MS)
+        self.assertNotEqual(self.fleet.verdict(late), ClaimVerdict.granted)
+        self.assertEqual(self.fleet.runs['k'], 1)
+
+    def test_append_with_a_lost_request_is_not_confirmed(self) -> None:
+        self.fleet.network.unknown_after_ms = 0
+        self.fleet.store.faults.lose_requests = 1
+        self.fleet.call(NodeId('n1'), 'k')
+        self.fleet.advance(50)
+        self.replace_owner()
+        self.ask()
+        self.assertLessEqual(self.fleet.runs['k'], 1)
+
+    def test_append_with_a_lost_answer_is_confirmed_by_reading(self) -> None:
+        self.fleet.store.faults.lose_answers = 1
+        self.assertIsNone(self.ask())
+        self.fleet.advance(3000)
+        # The claimant gave up meanwhile and released the claim.
+        self.assert_verdict(ClaimVerdict.granted)
+        self.fleet.network.unknown_after_ms = 0
+        self.fleet.store.faults.lose_answers = 1
+        self.assert_verdict(ClaimVerdict.granted, key='k2')
+
+    def test_claimant_without_an_answer_does_not_run(self) -> None:
+        self.fleet.network.cut = {self.fleet.owner()}
+        call_id = self.fleet.call(NodeId('n1'), 'k')
+        self.fleet.advance(1100)
+        self.assertEqual(self.fleet.verdict(call_id), ClaimVerdict.unavailable)
+
+    def test_summaries_and_records_are_both_read(self) -> None:
+        with mock.patch('jasmineramp.claim_owner.RECORDS_PER_PERIOD', 3):
+            for index in range(8):
+                self.ask(f'k{index}', duration=100 if index else 60_000)
+            self.replace_owner()
+            self.assert_verdict(ClaimVerdict.unknown, key='k0')
+            for index in range(1, 8):
+                self.assert_verdict(ClaimVerdict.ran, key=f'k{index}')
+
+    def test_number_of_partitions_is_checked(self) -> None:
+        self.fleet.crash(self.fleet.owner())
+        self.fleet.domains = (DomainId('a'), DomainId('b'))
+        for node in self.fleet.places:
+            self.fleet.start(node)
+        self.fleet.advance(FAILOVER_MS)
+        self.assertIsNone(self.fleet.owner())
+
+
+class OwnershipTest(unittest.TestCase):
+    """Guard against partitions without an owner and against a full log."""
+
+    def test_other_domain_serves_and_hands_back(self) -> None:
+        fleet = ClaimFleet(nodes=4)
+        fleet.advance(START_MS)
+        self.assertEqual((fleet.owner(0), fleet.owner(1)), ('n0', 'n1'))
+        for node in ('n0', 'n2'):
+            fleet.crash(NodeId(node))
+        fleet.advance(FAILOVER_MS)
+        self.assertEqual(fleet.owner(0), 'n1')
+        fleet.start(NodeId('n2'))
+        fleet.advance(HAND_BACK_MS + FAILOVER_MS)
+        self.assertEqual((fleet.owner(0), fleet.owner(1)), ('n2', 'n1'))
+
+    def test_stopping_owner_hands_over_before_its_lease_lapses(self) -> None:
+        fleet = ClaimFleet(nodes=2, domains=DOMAINS)
+        fleet.advance(START_MS)
+        owner = fleet.owner()
+        process = fleet.nodes.pop(owner)
+        fleet.update_views()
+        fleet.nodes[owner] = process
+        state = process.state
+        fleet.perform(
+            owner, process, idempotency.stop(state, fleet.clock.now())
+        )
+        fleet.advance(2000)
+        self.assertFalse(idempotency.owns_any(state))
+        self.assertNotIn(fleet.owner(), {None, owner})
+
+    def test_claims_are_forgotten_after_a_day_with_their_log_keys(self) -> None:
+        fleet = ClaimFleet(nodes=1, domains=DOMAINS)
+        fleet.advance(START_MS)
+        node = NodeId('n0')
+        fleet.call(node, 'k')
+        fleet.advance(23 * HOUR_MS, tick=1900)
+        repeat = fleet.call(node, 'k')
+        fleet.advance(3 * HOUR_MS, tick=1900)
+        self.assertEqual(fleet.verdict(repeat), ClaimVerdict.ran)
+        again = fleet.call(node, 'k')
+        fleet.advance(START_MS)
+        self.assertEqual(fleet.verdict(again), ClaimVerdict.granted)
+        fleet.advance(2 * HOUR_MS, tick=1900)
+        self.assertNotIn(log_key(PartitionId(0), 1), fleet.store.state.entries)
+        self.assertLess(len(fleet.store.state.entries), 40)
+
+    def test_owner_writes_at_most_ten_times_a_second(self) -> None:
+        fleet = ClaimFleet(nodes=2, domains=DOMAINS)
+        fleet.advance(START_MS)
+        before = fleet.store.calls.total() - fleet.store.calls['Get']
+        for index in range(400):
+            fleet.call(NodeId('n1'), f'k{index}', duration=20)
+            fleet.advance(25)
+        fleet.advance(50)
+        writes = fleet.store.calls.total() - fleet.store.calls['Get'] - before
+        self.assertLessEqual(writes, 10 * 10 + 1)
+        self.assertEqual(fleet.runs.total(), 400)
