--- a/src/jasmineramp/claim_owner.py
+++ b/src/jasmineramp/claim_owner.py
@@ -213,15 +213,10 @@
         return steps[self.phase](now)
 
     def _conflict(self, now: Millis) -> list[Effect]:
-        match self.phase:
-            case Phase.leasing:
-                return self._begin(now)
-            case Phase.period:
-                return self._begin_period(now)
-            case Phase.sealing if not self.ready:
-                # The predecessor wrote a record meanwhile; read it as well.
-                head = Head('', len(self.settings.domains), self.sequence)
-                return self._read_from(head, now)
+        if self.phase is Phase.sealing and not self.ready:
+            # The predecessor wrote a record meanwhile; read it as well.
+            head = Head('', len(self.settings.domains), self.sequence)
+            return self._read_from(head, now)
         return self._step_down(now, f'lost a race while {self.phase.value}')
 
     def _polled(self, answer: StoreAnswer, now: Millis) -> list[Effect]:
--- a/src/jasmineramp/store_steps.py
+++ b/src/jasmineramp/store_steps.py
@@ -19,20 +19,26 @@
 FIRST_RETRY_MS = 200.0
 LAST_RETRY_MS = 5000.0
 
-_CONFLICT = StoreAnswer(Outcome.conflict)
-
 
 class StoreStep:
     """Hold the one operation in progress and resolve its outcome.
 
     An operation that is not done is sent again after a jittered delay. A
     compare-and-swap with an unknown outcome or a conflict is read back, since
-    an earlier attempt may be what the conflict is about. A lease grant with
-    an unknown outcome counts as a conflict: the caller picks another name.
+    an earlier attempt may be what the conflict is about. Lease names are used
+    by one process only, so a conflict of a grant proves that an earlier
+    attempt took effect; the lease then counts from the first attempt.
     """
 
-    def __init__(self, role: Role, prefix: str, source: random.Random) -> None:
+    def __init__(
+        self,
+        role: Role,
+        prefix: str,
+        source: random.Random,
+        last_retry_ms: float = LAST_RETRY_MS,
+    ) -> None:
         self.role = role
+        self.last_retry_ms = last_retry_ms
         self.prefix = prefix
         self.random = source
         self.operation: Operation | None = None
@@ -41,6 +47,7 @@
         self.failures = 0
         self.checking = False
         self.retry_at: Millis | None = None
+        self.started_at = Millis(0)
         self.sent_at = Millis(0)
 
     @property
@@ -51,6 +58,7 @@
     def start(self, operation: Operation, now: Millis) -> list[Effect]:
         """Begin an operation; any former one is forgotten."""
         self.operation = operation
+        self.started_at = now
         self.failures = 0
         self.checking = False
         return self._send(operation, now)
@@ -80,9 +88,11 @@
                 self.checking = True
                 return None, self._send(Get(operation.key), now)
         elif outcome is Outcome.unknown:
-            if isinstance(operation, GrantLease):
-                return self._end(_CONFLICT)
             return None, self._delay(now)
+        elif isinstance(operation, GrantLease):
+            if outcome is Outcome.conflict:
+                self.sent_at = self.started_at
+            return self._end(StoreAnswer(Outcome.done))
         return self._end(event.answer)
 
     def tick(self, now: Millis) -> list[Effect]:
@@ -124,7 +134,7 @@
         return [StoreRequest(self.role, self.tag, operation)]
 
     def _delay(self, now: Millis) -> list[Effect]:
-        longest = min(FIRST_RETRY_MS * 2**self.failures, LAST_RETRY_MS)
+        longest = min(FIRST_RETRY_MS * 2**self.failures, self.last_retry_ms)
         self.failures = min(self.failures + 1, 10)
         self.tag = ''
         self.retry_at = later(now, self.random.uniform(longest / 2, longest))
--- /dev/null
+++ b/tests/test_rate_slots.py
@@ -0,0 +1,221 @@
+"""Test that no rate slot is used by two nodes at once."""
+
+import unittest
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from jasmineramp import rate_slots
+from jasmineramp.clock import ManualClock, Millis
+from jasmineramp.ids import DomainId
+from jasmineramp.rate_slots import HOUR_MS, RateSlotState, SlotSettings
+from jasmineramp.store_messages import (
+    Get,
+    Operation,
+    Outcome,
+    StoreAnswer,
+    StoreAnswered,
+    StoreRequest,
+)
+from tests.fakes.store import FakeStore
+
+TICK_MS = HOUR_MS / 4
+MINUTE_MS = 60_000.0
+
+
+class Holder:
+    """Hold one process; its clock may run slow against the platform's."""
+
+    def __init__(self, address: str, incarnation: int, slots: int) -> None:
+        own = SlotSettings(address, incarnation, DomainId('a'))
+        self.state = RateSlotState(own, slots, incarnation)
+        self.clock_rate = 1.0
+        self.cut = False
+        self.paused = False
+
+
+class SlotFleet:
+    """Drive the processes of one failure domain."""
+
+    def __init__(self, slots: int = 2) -> None:
+        self.clock = ManualClock()
+        self.store = FakeStore(self.clock)
+        self.slots = slots
+        self.count = 0
+        self.holders: dict[str, Holder] = {}
+
+    def start(self, address: str) -> Holder:
+        self.count += 1
+        holder = Holder(address, self.count, self.slots)
+        self.holders[address] = holder
+        return holder
+
+    def now(self, holder: Holder) -> Millis:
+        return Millis(self.clock.now() * holder.clock_rate)
+
+    def advance(self, duration: float, tick: float = TICK_MS) -> None:
+        end = self.clock.now() + duration
+        while self.clock.now() < end:
+            self.clock.advance(min(tick, end - self.clock.now()))
+            for holder in self.holders.values():
+                if not holder.paused:
+                    now = self.now(holder)
+                    self.perform(holder, rate_slots.tick(holder.state, now))
+
+    def perform(self, holder: Holder, effects: Any) -> None:
+        for effect in effects:
+            if isinstance(effect, StoreRequest):
+                event = StoreAnswered(
+                    effect.role,
+                    effect.tag,
+                    effect.operation,
+                    self.run(holder, effect.operation),
+                )
+                now = self.now(holder)
+                follow_up = rate_slots.answered(holder.state, event, now)
+                self.perform(holder, follow_up)
+
+    def run(self, holder: Holder, operation: Operation) -> StoreAnswer:
+        if holder.cut:
+            lost = not isinstance(operation, Get)
+            return StoreAnswer(Outcome.unknown if lost else Outcome.not_done)
+        return self.store.run(operation)
+
+    def held(self, address: str) -> int | None:
+        holder = self.holders[address]
+        return rate_slots.held_slot(holder.state, self.now(holder))
+
+    def all_held(self) -> list[int]:
+        held = [self.held(address) for address in self.holders]
+        return sorted(slot for slot in held if slot is not None)
+
+
+ADDRESSES = st.sampled_from(['10.0.0.1', '10.0.0.2', '10.0.0.3'])
+
+
+class SlotMachine(RuleBasedStateMachine):
+    """Mix cuts, pauses, crashes, slow clocks and lost answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = SlotFleet()
+        for address in ('10.0.0.1', '10.0.0.2'):
+            self.fleet.start(address)
+
+    @rule(address=ADDRESSES, slow=st.booleans())
+    def restart(self, address: str, slow: bool) -> None:
+        holder = self.fleet.start(address)
+        holder.clock_rate = 0.99 if slow else 1.0
+
+    @rule(address=ADDRESSES, paused=st.booleans(), cut=st.booleans())
+    def disturb(self, address: str, paused: bool, cut: bool) -> None:
+        holder = self.fleet.holders.get(address)
+        if holder is not None:
+            holder.paused = paused
+            holder.cut = cut
+
+    @rule(hours=st.sampled_from([0.25, 1, 20, 23.9]))
+    def advance(self, hours: float) -> None:
+        self.fleet.advance(hours * HOUR_MS)
+
+    @rule(answers=st.integers(0, 3), requests=st.integers(0, 3))
+    def lose_writes(self, answers: int, requests: int) -> None:
+        self.fleet.store.faults.lose_answers = answers
+        self.fleet.store.faults.lose_requests = requests
+
+    @rule(down=st.booleans())
+    def change_store(self, down: bool) -> None:
+        self.fleet.store.faults.down = down
+
+    @rule(address=ADDRESSES)
+    def release(self, address: str) -> None:
+        holder = self.fleet.holders.get(address)
+        if holder is not None:
+            now = self.fleet.now(holder)
+            self.fleet.perform(holder, rate_slots.release(holder.state, now))
+
+    @invariant()
+    def slots_have_one_user(self) -> None:
+        held = self.fleet.all_held()
+        assert len(held) == len(set(held))
+
+
+SlotMachineTest = SlotMachine.TestCase
+SlotMachineTest.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+
+
+class RateSlotTest(unittest.TestCase):
+    """Guard against lost, doubled and leaked slots."""
+
+    def setUp(self) -> None:
+        self.fleet = SlotFleet()
+        for address in ('10.0.0.1', '10.0.0.2'):
+            self.fleet.start(address)
+        self.fleet.advance(MINUTE_MS, MINUTE_MS)
+
+    def test_each_node_takes_one_slot_and_renews_it(self) -> None:
+        self.assertEqual(self.fleet.all_held(), [0, 1])
+        self.fleet.advance(72 * HOUR_MS)
+        self.assertEqual(self.fleet.all_held(), [0, 1])
+        self.fleet.start('10.0.0.3')
+        self.fleet.advance(HOUR_MS)
+        self.assertIsNone(self.fleet.held('10.0.0.3'))
+
+    def test_lapse_margin_covers_a_slow_clock(self) -> None:
+        slow = self.fleet.holders['10.0.0.1']
+        slow.clock_rate = 0.99
+        self.fleet.advance(2 * HOUR_MS)
+        slow.cut = True
+        self.fleet.start('10.0.0.3')
+        seen = set()
+        for _ in range(30 * 4):
+            self.fleet.advance(TICK_MS)
+            held = self.fleet.all_held()
+            self.assertEqual(len(held), len(set(held)))
+            seen.add(self.fleet.held('10.0.0.3'))
+        self.assertIsNone(self.fleet.held('10.0.0.1'))
+        self.assertNotEqual(seen, {None})
+
+    def test_same_address_takes_over_and_another_does_not(self) -> None:
+        slot = self.fleet.held('10.0.0.1')
+        self.fleet.holders.pop('10.0.0.1')
+        self.fleet.start('10.0.0.3')
+        self.fleet.advance(HOUR_MS)
+        self.assertIsNone(self.fleet.held('10.0.0.3'))
+        self.fleet.start('10.0.0.1')
+        self.fleet.advance(MINUTE_MS, MINUTE_MS)
+        self.assertEqual(self.fleet.held('10.0.0.1'), slot)
+        self.fleet.advance(30 * HOUR_MS)
+        self.assertEqual(self.fleet.held('10.0.0.1'), slot)
+
+    def test_released_slot_is_free_at_once(self) -> None:
+        holder = self.fleet.holders['10.0.0.1']
+        self.fleet.store.faults.lose_answers = 1
+        now = self.fleet.now(holder)
+        self.fleet.perform(holder, rate_slots.release(holder.state, now))
+        self.assertIsNone(self.fleet.held('10.0.0.1'))
+        self.fleet.start('10.0.0.3')
+        self.fleet.advance(HOUR_MS)
+        self.assertIsNotNone(self.fleet.held('10.0.0.3'))
+
+    def test_outage_of_half_a_day_keeps_the_slot(self) -> None:
+        self.fleet.store.faults.down = True
+        self.fleet.advance(12 * HOUR_MS)
+        self.assertEqual(self.fleet.all_held(), [0, 1])
+        self.fleet.advance(12 * HOUR_MS)
+        self.assertEqual(self.fleet.all_held(), [])
+        self.fleet.store.faults.down = False
+        self.fleet.advance(2 * HOUR_MS)
+        self.assertEqual(self.fleet.all_held(), [0, 1])
+
+    def test_fewer_slots_give_back_the_last(self) -> None:
+        for holder in self.fleet.holders.values():
+            now = self.fleet.now(holder)
+            effects = rate_slots.set_slots(holder.state, 1, now)
+            self.fleet.perform(holder, effects)
+        self.fleet.advance(HOUR_MS)
+        self.assertEqual(self.fleet.all_held(), [0])
