--- a/tests/test_rate_slots.py
+++ b/tests/test_rate_slots.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any
 
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -10,8 +11,14 @@
 from jasmineramp import rate_slots
 from jasmineramp.clock import ManualClock, Millis
 from jasmineramp.ids import DomainId
-from jasmineramp.rate_slots import HOUR_MS, RateSlotState, SlotSettings
+from jasmineramp.rate_slots import (
+    HOUR_MS,
+    RateSlotState,
+    SlotEntry,
+    SlotSettings,
+)
 from jasmineramp.store_messages import (
+    CompareAndSwap,
     Get,
     Operation,
     Outcome,
@@ -44,6 +51,7 @@
         self.store = FakeStore(self.clock)
         self.slots = slots
         self.count = 0
+        self.lost_swaps: list[Outcome] = []
         self.holders: dict[str, Holder] = {}
 
     def start(self, address: str) -> Holder:
@@ -81,6 +89,8 @@
         if holder.cut:
             lost = not isinstance(operation, Get)
             return StoreAnswer(Outcome.unknown if lost else Outcome.not_done)
+        if self.lost_swaps and isinstance(operation, CompareAndSwap):
+            return StoreAnswer(self.lost_swaps.pop())
         return self.store.run(operation)
 
     def held(self, address: str) -> int | None:
@@ -125,6 +135,10 @@
         self.fleet.store.faults.lose_answers = answers
         self.fleet.store.faults.lose_requests = requests
 
+    @rule(count=st.integers(0, 2))
+    def lose_swaps(self, count: int) -> None:
+        self.fleet.lost_swaps = [Outcome.unknown] * count
+
     @rule(down=st.booleans())
     def change_store(self, down: bool) -> None:
         self.fleet.store.faults.down = down
@@ -219,3 +233,45 @@
             self.fleet.perform(holder, effects)
         self.fleet.advance(HOUR_MS)
         self.assertEqual(self.fleet.all_held(), [0])
+
+    def test_lost_write_does_not_hold_the_slot(self) -> None:
+        fleet = SlotFleet(slots=1)
+        fleet.lost_swaps = [Outcome.unknown]
+        fleet.start('10.0.0.1')
+        fleet.start('10.0.0.2')
+        fleet.advance(HOUR_MS)
+        self.assertEqual(fleet.all_held(), [0])
+
+    def test_slot_is_taken_after_an_outage_during_the_search(self) -> None:
+        fleet = SlotFleet(slots=1)
+        fleet.lost_swaps = [Outcome.not_done] * 200
+        fleet.start('10.0.0.1')
+        fleet.advance(30 * HOUR_MS)
+        fleet.lost_swaps = []
+        fleet.advance(2 * HOUR_MS)
+        self.assertEqual(fleet.all_held(), [0])
+
+    def test_overwritten_entry_ends_the_use(self) -> None:
+        slot = self.fleet.held('10.0.0.1')
+        key = f'slots/a/{slot}'
+        answer = self.fleet.store.run(Get(key))
+        entry = SlotEntry('10.0.0.9', 1)
+        body = msgspec.msgpack.encode(entry)
+        lease = self.fleet.store.state.entries[key].lease
+        self.fleet.store.run(CompareAndSwap(key, answer.revision, body, lease))
+        self.fleet.advance(2 * HOUR_MS)
+        self.assertIsNone(self.fleet.held('10.0.0.1'))
+
+    def test_late_answer_counts_from_the_sending(self) -> None:
+        holder = self.fleet.holders['10.0.0.1']
+        sent = Millis(self.fleet.clock.now() + 2 * HOUR_MS)
+        (request,) = rate_slots.tick(holder.state, sent)
+        received = Millis(sent + 5 * HOUR_MS)
+        for _ in range(2):
+            answer = self.fleet.store.run(request.operation)
+            event = StoreAnswered(
+                request.role, request.tag, request.operation, answer
+            )
+            request, *_ = rate_slots.answered(holder.state, event, received)
+        expected = sent + 24 * HOUR_MS * 0.99
+        self.assertAlmostEqual(holder.state.valid_until, expected)
