--- a/tests/fakes/claims.py
+++ b/tests/fakes/claims.py
@@ -32,6 +32,7 @@
 from tests.fakes.store import FakeStore
 
 TICK_MS = 50.0
+VIEW_MS = 3000.0
 STORE_TIMEOUT_MS = 2000.0
 WORKSPACE = WorkspaceId('studio')
 DOMAINS = (DomainId('a'), DomainId('b'))
@@ -44,6 +45,7 @@
     duplicates: float = 0
     delay_ms: float = 1
     store_delay_ms: float = 2
+    unknown_after_ms: float = STORE_TIMEOUT_MS
     late_writes: int = 0
     cut: set[NodeId] = msgspec.field(default_factory=set)
 
@@ -97,7 +99,13 @@
         self.nodes.pop(node, None)
 
     def update_views(self) -> None:
-        alive = {node: self.places[node] for node in self.nodes}
+        """Show each node the processes that run and are not cut off."""
+        self.views_at = self.clock.now() + VIEW_MS
+        alive = {
+            node: self.places[node]
+            for node, process in self.nodes.items()
+            if not process.paused and node not in self.network.cut
+        }
         for process in self.nodes.values():
             idempotency.set_members(process.state, alive, self.clock.now())
 
@@ -105,6 +113,7 @@
         self,
         node: NodeId,
         key: str,
+        *,
         end: ClaimEnd = ClaimEnd.done,
         duration: float = 100,
         deadline: float = 2000,
@@ -129,6 +138,8 @@
     def advance(self, duration: float, tick: float = TICK_MS) -> None:
         end = self.clock.now() + duration
         while self.clock.now() < end:
+            if self.clock.now() >= self.views_at:
+                self.update_views()
             for node, process in list(self.nodes.items()):
                 self.handle(node, process, ('tick',))
             self.run_due(min(end, self.clock.now() + tick))
@@ -170,11 +181,13 @@
         self.perform(node, process, effects)
 
     def resume(self, node: NodeId) -> None:
+        """Handle what queued up, also at the store, before the next tick."""
         process = self.nodes[node]
         process.paused = False
         backlog, process.backlog = process.backlog, []
         for item in backlog:
             self.handle(node, process, item)
+        self.run_due(self.clock.now() + 20)
 
     def perform(self, node: NodeId, process: Node, effects: Any) -> None:
         for effect in effects:
@@ -232,7 +245,7 @@
         )
         delay = self.random.uniform(0, self.network.store_delay_ms)
         if answer.outcome is Outcome.unknown:
-            delay += STORE_TIMEOUT_MS
+            delay += self.network.unknown_after_ms
         self.post(delay, node, process, ('answer', event))
 
     def decide(
@@ -254,10 +267,9 @@
         decided = self.decided.get(call_id)
         return decided.verdict if decided else None
 
-    def owner(self) -> NodeId:
-        """Return a node that serves the first partition."""
-        return next(
-            node
-            for node, process in self.nodes.items()
-            if process.state.owners[0].ready
-        )
+    def owner(self, partition: int = 0) -> NodeId | None:
+        """Return a node that serves a partition."""
+        for node, process in self.nodes.items():
+            if process.state.owners[partition].ready:
+                return node
+        return None
