--- a/src/jasmineramp/operator_client.py
+++ b/src/jasmineramp/operator_client.py
@@ -54,7 +54,7 @@
             'GET' if body is None else 'POST',
             target,
             body=None if body is None else msgspec.json.encode(body),
-            headers={'Content-Type': 'application/json'},
+            headers={'Content-Type': 'application/json', 'Connection': 'close'},
             timeout=TIMEOUT_SECONDS,
             retries=False,
         )
