Let an offer from another failure domain wait for a nearer one

A watcher that got an edit at the time of its periodic offers made the contacts of all other failure domains request a copy from it. Its byte budget then dropped requests of its own members, who asked again 250 ms later. Offers from other failure domains now wait 100 ms.

--- a/src/jasmineramp/configuration.py
+++ b/src/jasmineramp/configuration.py
@@ -42,6 +42,8 @@
 
 OFFER_INTERVAL_MS = 1_000
 REQUEST_TIMEOUT_MS = 250
+# Saves a copy between failure domains when the own one has it as well.
+FAR_PATIENCE_MS = 100
 ACKNOWLEDGE_INTERVAL_MS = 1_000
 # A collector that restarted under its id has lost the acknowledgements.
 ACKNOWLEDGE_AGAIN_MS = 5_000
@@ -84,10 +86,10 @@
     if state.has_platform and is_watcher(state, members):
         effects += watch(state, now)
     if state.requested_until is not None and now >= state.requested_until:
-        state.requested_until = None
+        _end_request(state)
         state.next_offer = now
     if state.offerers and state.requested_until is None:
-        effects += _request_copy(state, now)
+        effects += _request_copy(state, members, now)
     if now >= state.next_offer:
         effects += _offer_periodically(state, members, now)
     if _needs_acknowledgement(state, members, now):
@@ -153,8 +155,12 @@
     effects: list[Effect] = []
     if lacks(state, message.revision, message.accepted):
         state.offerers[sender] = message.revision
-        if state.requested_until is None:
-            effects += _request_copy(state, now)
+        if sender not in members.alive:
+            # A member is likely to offer the same within milliseconds.
+            if state.requested_until is None:
+                state.requested_until = later(now, FAR_PATIENCE_MS)
+        elif not state.has_request:
+            effects += _request_copy(state, members, now)
     else:
         effects += _accept(state, message.accepted, members, now)
     is_behind = (message.revision, message.accepted) < (
@@ -196,7 +202,7 @@
     members: Members,
     now: Millis,
 ) -> list[Effect]:
-    state.requested_until = None
+    _end_request(state)
     effects = adopt(state, message.revision, message.body, members, now)
     if message.accepted_body and message.accepted > state.accepted:
         try:
@@ -275,17 +281,27 @@
     return [SendMessage(node, offer) for node in sorted(receivers)]
 
 
-def _request_copy(state: ConfigurationState, now: Millis) -> list[Effect]:
+def _request_copy(
+    state: ConfigurationState,
+    members: Members,
+    now: Millis,
+) -> list[Effect]:
     newest = max(state.offerers.values())
-    node = state.random.choice(
-        [node for node, held in state.offerers.items() if held == newest],
-    )
+    nodes = [node for node, held in state.offerers.items() if held == newest]
+    near = [node for node in nodes if node in members.alive]
+    node = state.random.choice(near or nodes)
     # The next timeout asks another node.
     state.offerers.pop(node)
+    state.has_request = True
     state.requested_until = later(now, REQUEST_TIMEOUT_MS)
     return [SendMessage(node, CopyRequest(state.revision, state.accepted))]
 
 
+def _end_request(state: ConfigurationState) -> None:
+    state.has_request = False
+    state.requested_until = None
+
+
 def _accept(
     state: ConfigurationState,
     accepted: Revision,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -282,6 +282,29 @@
         ]
         self.assertEqual(receivers, ['b', 'c'])
 
+    def test_an_offer_from_another_failure_domain_can_wait(self) -> None:
+        members = make_members('a', ('b',), {'e': 'far'})
+        state = ConfigurationState('a', 'd', 1)
+
+        def requests(effects) -> list[str]:
+            return [
+                effect.node
+                for effect in effects
+                if isinstance(effect, SendMessage)
+                and isinstance(effect.message, CopyRequest)
+            ]
+
+        def offer(sender: str) -> list[str]:
+            effects = configuration.receive(
+                state, sender, Offer(3, 0), members, Millis(0)
+            )
+            return requests(effects)
+
+        self.assertEqual(offer('far'), [])
+        self.assertEqual(offer('b'), ['b'])
+        effects = configuration.tick(state, members, Millis(300))
+        self.assertEqual(requests(effects), ['far'])
+
     def test_a_late_copy_of_an_older_table_changes_nothing(self) -> None:
         members = make_members('a', ('b',), {})
         state = ConfigurationState('a', 'd', 1)
