Compress the copies of the table

A node that passes a table on to four others sent 450 KB for a 90 KB table. Copies now carry the body compressed once per revision; unpacking is bounded by the platform's value limit, and a damaged message does not reject the revision.

--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -8,6 +8,7 @@
 
 import collections
 import functools
+import hashlib
 import heapq
 import itertools
 import math
@@ -60,7 +61,10 @@
             for index in range(workspaces)
         ),
         tuple(
-            KeyRow(f'{index:064x}', f'workspace-{index % workspaces}')
+            KeyRow(
+                hashlib.sha256(str(index).encode()).hexdigest(),
+                f'workspace-{index % workspaces}',
+            )
             for index in range(keys)
         ),
         1500,
--- a/src/jasmineramp/configuration.py
+++ b/src/jasmineramp/configuration.py
@@ -30,7 +30,9 @@
     make_offer,
     neighbours,
     note_contact,
+    pack_body,
     spend_copy,
+    unpack_body,
 )
 from jasmineramp.configuration_watch import end_watch, watch
 from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
@@ -69,6 +71,7 @@
     state.revision = revision
     state.table = table
     state.body = body
+    state.packed = b''
     return [
         RecordEvent(EventKind.configuration_in_force, {'revision': revision}),
         *_offer_to_neighbours(state, members, now),
@@ -183,7 +186,7 @@
 ) -> list[Effect]:
     if not spend_copy(state, message, now):
         return []
-    body = state.body if message.revision < state.revision else b''
+    body = pack_body(state) if message.revision < state.revision else b''
     rates = accepted_rates(state)
     if body and state.accepted == state.revision:
         rates = None
@@ -203,7 +206,12 @@
     now: Millis,
 ) -> list[Effect]:
     _end_request(state)
-    effects = adopt(state, message.revision, message.body, members, now)
+    effects: list[Effect] = []
+    body = unpack_body(message.body)
+    if body and message.revision > state.revision:
+        effects = adopt(state, message.revision, body, members, now)
+        if state.revision == message.revision:
+            state.packed = message.body
     if message.accepted_body and message.accepted > state.accepted:
         try:
             keep_rates(
--- a/src/jasmineramp/configuration_messages.py
+++ b/src/jasmineramp/configuration_messages.py
@@ -37,7 +37,7 @@
 
 
 class Copy(Message, frozen=True):
-    """Carry the table in force and the accepted rates, both encoded."""
+    """Carry the table in force, compressed, and the accepted rates."""
 
     revision: Revision
     body: bytes
--- a/src/jasmineramp/configuration_state.py
+++ b/src/jasmineramp/configuration_state.py
@@ -1,6 +1,7 @@
 """Hold the table of one node, its rates per revision and its contact."""
 
 import random
+import zlib
 from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
@@ -10,12 +11,15 @@
 from jasmineramp.configuration_messages import CopyRequest, Offer
 from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.table import Table, WorkspaceRow
+from jasmineramp.table_files import MAXIMUM_VALUE_BYTES
 
 # Bounds what one node sends when many ask at once, in bytes.
 COPY_BURST_BYTES = 1_000_000
 COPY_BYTES_PER_MS = 500
 # More revisions than a day brings; equal rates share one table.
 MAXIMUM_RATE_TABLES = 2_000
+# Digests of keys, most of a large table, compress to half at any level.
+COMPRESSION_LEVEL = 1
 WATCHERS = 2
 TREE_DEGREE = 4
 
@@ -62,6 +66,7 @@
         self.accepted = NO_REVISION
         self.table: Table | None = None
         self.body = b''
+        self.packed = b''
         # The rates of each revision that was in force since the accepted
         # one: a node must stay within all of them (design, section 7.1).
         self.rate_tables: dict[Revision, Table] = {}
@@ -201,10 +206,27 @@
     state.copy_budget = min(COPY_BURST_BYTES, state.copy_budget + earned)
     if state.copy_budget <= 0:
         return False
-    state.copy_budget -= len(state.body)
+    state.copy_budget -= len(pack_body(state))
     return True
 
 
+def pack_body(state: ConfigurationState) -> bytes:
+    """Return the compressed body, made once per revision."""
+    if not state.packed:
+        state.packed = zlib.compress(state.body, COMPRESSION_LEVEL)
+    return state.packed
+
+
+def unpack_body(packed: bytes) -> bytes:
+    """Return the body of a copy; empty if damaged or too large."""
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, MAXIMUM_VALUE_BYTES)
+    except zlib.error:
+        return b''
+    return body if unpacker.eof else b''
+
+
 def due(state: ConfigurationState, now: Millis, interval: float) -> Millis:
     """Return a time about an interval away; jitter spreads the nodes."""
     return later(now, interval * state.random.uniform(0.9, 1.1))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,6 +1,7 @@
 """Test the spread of the table under faults."""
 
 import unittest
+import zlib
 
 import msgspec
 from hypothesis import settings
@@ -31,6 +32,7 @@
     contact_age,
     make_members,
     serves_workspace,
+    unpack_body,
 )
 from jasmineramp.effects import RecordEvent, SendMessage
 from jasmineramp.store_messages import StoreRequest
@@ -254,7 +256,7 @@
         fleet.edit(1)
         fleet.settle(500)
         state = fleet.states['d0-0']
-        state.body = b'x' * 400_000
+        state.packed = b'x' * 400_000
         members = fleet.members('d0-0')
         sent = [
             configuration.receive(
@@ -309,7 +311,8 @@
         members = make_members('a', ('b',), {})
         state = ConfigurationState('a', 'd', 1)
         for revision in (3, 2):
-            copy = Copy(revision, make_body(revision), 0, b'')
+            body = zlib.compress(make_body(revision))
+            copy = Copy(revision, body, 0, b'')
             configuration.receive(state, 'b', copy, members, Millis(0))
         self.assertEqual(state.revision, 3)
 
@@ -318,7 +321,7 @@
         revision = fleet.edit(1)
         fleet.settle(500)
         state, members = fleet.states['d0-0'], fleet.members('d0-0')
-        copy = Copy(9, b'{"calls": 1}', 9, b'')
+        copy = Copy(9, zlib.compress(b'{"calls": 1}'), 9, b'')
         effects = configuration.receive(state, 'x', copy, members, fleet.now)
         self.assertIsInstance(effects[0], RecordEvent)
         self.assertEqual(state.revision, revision)
@@ -328,6 +331,23 @@
         )
         self.assertFalse(any(isinstance(e, SendMessage) for e in again))
 
+    def test_a_copy_that_unpacks_beyond_the_limit_is_rejected(self) -> None:
+        bomb = zlib.compress(b' ' * 5_000_000)
+        self.assertEqual(unpack_body(bomb), b'')
+        packed = zlib.compress(make_body(1))
+        self.assertEqual(unpack_body(packed), make_body(1))
+        self.assertEqual(unpack_body(packed[:-6]), b'')
+        self.assertEqual(unpack_body(b'no zlib'), b'')
+
+    def test_a_damaged_message_does_not_reject_the_revision(self) -> None:
+        members = make_members('a', ('b',), {})
+        state = ConfigurationState('a', 'd', 1)
+        packed = zlib.compress(make_body(1))
+        for body in (packed[:-3], packed):
+            copy = Copy(7, body, 0, b'')
+            configuration.receive(state, 'b', copy, members, Millis(0))
+        self.assertEqual(state.revision, 7)
+
     def test_edits_of_keys_share_the_rates_of_one_table(self) -> None:
         fleet = Fleet((1,))
         state, members = fleet.states['d0-0'], fleet.members('d0-0')
