--- /dev/null
+++ b/bench/rate_shares.py
@@ -0,0 +1,511 @@
+"""Measure how rate shares follow demand.
+
+Several RateStates and exchanges run in one process; every message takes a
+fixed delay. Run with python -m bench.rate_shares [case ...] [--seed N].
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+import sys
+import time
+from collections import defaultdict
+
+import msgspec
+
+from jasmineramp import exchange, rates
+from jasmineramp.clock import Millis
+from jasmineramp.ids import BucketId, DomainId, NodeId, Revision
+from jasmineramp.messages import Message
+from jasmineramp.rate_messages import (
+    DemandReport,
+    DomainSummary,
+    LenderHints,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+)
+
+DELAY_MS = 1.0
+TICK_MS = 50
+WAIT_MS = 50
+DAY_MS = 86_400_000
+DRIFT = 0.01
+ENCODER = msgspec.msgpack.Encoder()
+KINDS = (
+    DemandReport | DomainSummary | LenderHints | Loan | LoanRequest | LoanReturn
+)
+DECODER = msgspec.msgpack.Decoder(KINDS)
+
+
+class IdealBucket:
+    """Admit what one token bucket for the whole fleet would admit."""
+
+    def __init__(self, rate, burst, now):
+        self.rate, self.burst = rate, burst
+        self.tokens, self.at = burst, now
+
+    def take(self, now):
+        passed = (now - self.at) * self.rate / 1000
+        self.tokens, self.at = min(self.burst, self.tokens + passed), now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Window:
+    """Follow the excess over rate and burst over all windows."""
+
+    def __init__(self, rate, burst):
+        self.rate, self.burst = rate, burst
+        self.level, self.at = 0.0, 0.0
+        self.worst = -burst
+
+    def admit(self, now):
+        passed = (now - self.at) * self.rate / 1000
+        self.level, self.at = max(0, self.level - passed) + 1, now
+        self.worst = max(self.worst, self.level - self.burst)
+
+
+class Fleet:
+    """Run nodes whose messages all take the same delay."""
+
+    def __init__(self, size, domains, limits, seed, skew=0.0):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.queue = []
+        self.order = itertools.count()
+        self.limits = limits
+        self.windows = {name: Window(*limit) for name, limit in limits.items()}
+        self.calls = []
+        self.messages = self.bytes = 0
+        self.received = defaultdict(int)
+        self.processor = 0.0
+        self.take_time = 0.0
+        self.takes = 0
+        table = rates.RateTable(
+            Revision(1),
+            size,
+            {name: rates.RateLimit(*limit) for name, limit in limits.items()},
+        )
+        self.nodes = [NodeId(f'node-{index:04}') for index in range(size)]
+        self.domain = {
+            node: DomainId(f'domain-{index % domains}')
+            for index, node in enumerate(self.nodes)
+        }
+        self.speed = {
+            node: 1 + self.random.uniform(0, skew) for node in self.nodes
+        }
+        members = [
+            exchange.RateMember(node, self.domain[node], slot)
+            for slot, node in enumerate(self.nodes)
+        ]
+        first = {}
+        for node in self.nodes:
+            first.setdefault(self.domain[node], node)
+        self.states, self.exchanges, self.parked = {}, {}, {}
+        leaders = set(first.values())
+        for slot, node in enumerate(self.nodes):
+            state = rates.RateState(node, slot + 1, Millis(0))
+            rates.set_limits(state, table, Millis(0))
+            rates.accept_limits(state, table.revision, Millis(0))
+            lease = rates.SlotLease(slot, Millis(DAY_MS), fresh=True)
+            rates.set_slot(state, lease, Millis(0))
+            rates.set_exchange(state, first[self.domain[node]])
+            self.states[node] = state
+            self.parked[node] = []
+            if node in leaders:
+                hub = exchange.ExchangeState(node, self.domain[node], seed)
+                exchange.set_table(hub, table)
+                exchange.set_members(hub, members)
+                self.exchanges[node] = hub
+            self.at(self.random.uniform(0, TICK_MS), self.tick, node)
+
+    def at(self, when, action, *arguments):
+        heapq.heappush(self.queue, (when, next(self.order), action, arguments))
+
+    def run(self, until):
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
+        self.now = until
+
+    def clock(self, node):
+        return Millis(self.now * self.speed[node])
+
+    def send(self, sender, effects):
+        for effect in effects:
+            if effect.node == sender:
+                self.at(
+                    self.now, self.deliver, sender, sender, None, effect.message
+                )
+                continue
+            data = ENCODER.encode(effect.message)
+            self.messages += 1
+            self.bytes += len(data)
+            self.received[effect.node] += len(data)
+            self.received[sender] += len(data)
+            self.at(
+                self.now + DELAY_MS,
+                self.deliver,
+                sender,
+                effect.node,
+                data,
+                None,
+            )
+
+    def deliver(self, sender, node, data, message):
+        start = time.process_time()
+        now = self.clock(node)
+        message = DECODER.decode(data) if data else message
+        state = self.states[node]
+        answer: Message | None = None
+        if isinstance(message, LoanRequest):
+            answer = rates.lend(state, sender, message, now)
+        elif isinstance(message, Loan):
+            rates.accept_loan(state, sender, message, now)
+        elif isinstance(message, LoanReturn):
+            rates.return_loan(state, sender, message, now)
+        elif isinstance(message, LenderHints):
+            rates.accept_hints(state, message, now)
+        elif isinstance(message, DomainSummary):
+            exchange.receive_summary(self.exchanges[node], message, now)
+        else:
+            answer = exchange.receive_report(
+                self.exchanges[node], sender, message, now
+            )
+        effects = []
+        if answer is not None:
+            effects.append(rates.SendMessage(sender, answer))
+        self.retry(node, now)
+        effects += rates.pending_messages(state, now)
+        self.send(node, effects)
+        self.processor += time.process_time() - start
+
+    def tick(self, node):
+        start = time.process_time()
+        now = self.clock(node)
+        effects = rates.tick(self.states[node], now)
+        if node in self.exchanges:
+            effects += exchange.tick(self.exchanges[node], now)
+        self.retry(node, now)
+        effects += rates.pending_messages(self.states[node], now)
+        self.send(node, effects)
+        self.processor += time.process_time() - start
+        self.at(self.now + TICK_MS, self.tick, node)
+
+    def retry(self, node, now):
+        waiting, self.parked[node] = self.parked[node], []
+        for name, arrived, ideal in waiting:
+            self.call(node, name, arrived, ideal, parked=True)
+
+    def arrive(self, node, name, ideal):
+        start = time.process_time()
+        self.call(node, name, self.now, ideal, parked=False)
+        self.send(
+            node, rates.pending_messages(self.states[node], self.clock(node))
+        )
+        self.processor += time.process_time() - start
+
+    def call(self, node, name, arrived, ideal, *, parked):
+        now = self.clock(node)
+        outcome = None
+        if self.now - arrived > WAIT_MS:
+            outcome = False
+        else:
+            taken = rates.take(self.states[node], name, now, parked=parked)
+            if isinstance(taken, rates.RateTaken):
+                self.windows[name].admit(self.now)
+                outcome = True
+            elif isinstance(taken, rates.LoanWanted):
+                self.parked[node].append((name, arrived, ideal))
+                if not parked:
+                    self.at(arrived + WAIT_MS + 0.1, self.give_up, node)
+            else:
+                outcome = False
+        if outcome is not None:
+            self.calls.append(
+                (arrived, name, outcome, ideal, self.now - arrived)
+            )
+
+    def give_up(self, node):
+        self.retry(node, self.clock(node))
+
+    def offer(self, name, start, end, weights, rate, ideal=None):
+        """Offer Poisson calls; weights share them out over the nodes."""
+        rate_limit, burst = self.limits[name]
+        ideal = ideal or IdealBucket(rate_limit, burst, start)
+        names = list(weights)
+        chances = list(weights.values())
+        now = start
+        while True:
+            now += self.random.expovariate(rate) * 1000
+            if now >= end:
+                return ideal
+            node = self.random.choices(names, chances)[0]
+            self.at(now, self.arrive, node, name, ideal.take(now))
+
+    def refused(self, start, end):
+        """Return the share of the calls within rate that were refused."""
+        within = [
+            outcome
+            for arrived, _, outcome, ideal, _ in self.calls
+            if ideal and start <= arrived < end
+        ]
+        return within.count(False) / max(1, len(within)), len(within)
+
+    def served_after(self, start, end, part=0.95, span=100):
+        """Return when calls within rate are served from then on."""
+        total, good = defaultdict(int), defaultdict(int)
+        for arrived, _, outcome, ideal, _ in self.calls:
+            if ideal and start <= arrived < end:
+                place = int((arrived - start) // span)
+                total[place] += 1
+                good[place] += outcome
+        last = -1
+        # Three intervals together smooth the chance of single calls.
+        for place in range(int((end - start) // span) - 2):
+            seen = sum(total[place + more] for more in range(3))
+            kept = sum(good[place + more] for more in range(3))
+            if seen and kept < part * seen:
+                last = place
+        return (last + 1) * span
+
+    def excess(self):
+        return max(window.worst for window in self.windows.values())
+
+    def reset(self):
+        self.messages = self.bytes = 0
+        self.received.clear()
+        self.processor = 0.0
+
+
+def report(**figures):
+    print(
+        ' '.join(
+            f'{name}={value:.4g}'
+            if isinstance(value, float)
+            else f'{name}={value}'
+            for name, value in figures.items()
+        ),
+        flush=True,
+    )
+
+
+NAME = BucketId('workspace:studio')
+SIZES = (2, 4, 8, 16, 64, 256, 1500)
+
+
+def measure(label, size, domains, limit, before, after, load, seed, skew=0.0):
+    """Offer load, shift it to other nodes at 6 s and report the effect."""
+    fleet = Fleet(size, domains, {NAME: limit}, seed, skew)
+    offered = limit[0] * load
+    # Buckets start empty, so that the first seconds tell nothing.
+    ideal = fleet.offer(NAME, 1000, 8000, before(fleet), offered)
+    fleet.run(4000)
+    fleet.reset()
+    fleet.run(8000)
+    steady, count = fleet.refused(4000, 8000)
+    messages, octets = fleet.messages, fleet.bytes
+    fleet.offer(NAME, 8000, 16000, after(fleet), offered, ideal)
+    fleet.run(16000)
+    shift, _ = fleet.refused(8000, 10000)
+    settled, later = fleet.refused(10000, 15000)
+    waits = sorted(call[4] for call in fleet.calls if call[2])
+    report(
+        case=label,
+        nodes=size,
+        domains=domains,
+        rate=limit[0],
+        burst=limit[1],
+        load=load,
+        excess=float(fleet.excess()),
+        served_after_ms=fleet.served_after(8000, 15000),
+        refused_steady=steady,
+        refused_2s_after_shift=shift,
+        refused_after=settled,
+        calls=count + later,
+        waited=sum(wait > 0 for wait in waits) / max(1, len(waits)),
+        messages_per_node_s=messages / 4 / size,
+        bytes_per_node_s=octets / 4 / size,
+        busiest_bytes_s=max(fleet.received.values(), default=0) / 12,
+    )
+    return fleet
+
+
+def everywhere(fleet):
+    return dict.fromkeys(fleet.nodes, 1)
+
+
+def uneven(fleet):
+    return {node: 1 / (1 + place) for place, node in enumerate(fleet.nodes)}
+
+
+def one_node(fleet):
+    return {fleet.nodes[-1]: 1}
+
+
+def one_domain(fleet):
+    last = fleet.domain[fleet.nodes[-1]]
+    return {node: 1 for node in fleet.nodes if fleet.domain[node] == last}
+
+
+def run_shift(seed):
+    for size, domains in ((12, 3), (16, 4)):
+        limit = (400, 200)
+        for load in (0.5, 0.9, 3.0):
+            for name, after in (
+                ('one_node', one_node),
+                ('one_domain', one_domain),
+                ('uneven', uneven),
+            ):
+                measure(
+                    name, size, domains, limit, everywhere, after, load, seed
+                )
+
+
+def run_burst(seed):
+    for burst in (1, 2, 5, 10, 20):
+        for size, domains in ((12, 3), (256, 14)):
+            for name, after in (('one_node', one_node), ('uneven', uneven)):
+                measure(
+                    f'small_{name}',
+                    size,
+                    domains,
+                    (20, burst),
+                    everywhere,
+                    after,
+                    0.5,
+                    seed,
+                )
+
+
+def run_skew(seed):
+    measure(
+        'skew', 12, 3, (400, 60), everywhere, one_node, 3.0, seed, skew=DRIFT
+    )
+
+
+def run_scale(seed):
+    points = []
+    for size in SIZES:
+        domains = min(14, max(1, size // 4))
+        limits = {
+            BucketId(f'workspace:studio-{index}'): (
+                4.0 * size,
+                max(20.0, 4.0 * size),
+            )
+            for index in range(8)
+        }
+        fleet = Fleet(size, domains, limits, seed)
+        for place, name in enumerate(limits):
+            # Each workspace calls mostly in a failure domain of its own.
+            home = DomainId(f'domain-{place % domains}')
+            weights = {
+                node: 5 if fleet.domain[node] == home else 1
+                for node in fleet.nodes
+            }
+            fleet.offer(name, 1000, 6000, weights, limits[name][0] * 0.8)
+        fleet.run(4000)
+        fleet.reset()
+        calls = len(fleet.calls)
+        fleet.run(6000)
+        octets = fleet.bytes / 2 / size
+        busiest = max(fleet.received.values()) / 2
+        points.append((size, octets))
+        report(
+            case='scale',
+            nodes=size,
+            domains=domains,
+            buckets=8,
+            load=0.8,
+            calls_per_node_s=(len(fleet.calls) - calls) / 2 / size,
+            refused=fleet.refused(4000, 5900)[0],
+            messages_per_node_s=fleet.messages / 2 / size,
+            bytes_per_node_s=octets,
+            busiest_bytes_s=busiest,
+            processor_percent=100 * fleet.processor / 2 / size,
+            excess=float(fleet.excess()),
+        )
+    (small, first), (large, last) = points[2], points[-1]
+    report(
+        case='scale',
+        slope_bytes_per_added_node=(last - first) / (large - small),
+    )
+
+
+def _size_of(thing, seen):
+    if id(thing) in seen or isinstance(thing, type):
+        return 0
+    seen.add(id(thing))
+    total = sys.getsizeof(thing)
+    if isinstance(thing, dict):
+        parts = itertools.chain(thing.keys(), thing.values())
+    elif isinstance(thing, list | tuple | set | frozenset):
+        parts = thing
+    else:
+        names = getattr(thing, '__slots__', None) or getattr(
+            thing, '__struct_fields__', ()
+        )
+        parts = [getattr(thing, name) for name in names]
+    return total + sum(_size_of(part, seen) for part in parts)
+
+
+def run_cost(seed):
+    fleet = Fleet(12, 3, {NAME: (1e6, 1e9)}, seed)
+    state = fleet.states[fleet.nodes[0]]
+    fleet.run(2000)
+    for buckets in ((NAME,), (NAME, BucketId('none'))):
+        for label, function in (
+            ('take', lambda now: rates.take(state, NAME, now)),
+            ('take_all', lambda now, b=buckets: rates.take_all(state, b, now)),
+        ):
+            rounds = 100_000
+            start = time.perf_counter()
+            for index in range(rounds):
+                function(Millis(3000 + index / 100))
+            spent = (time.perf_counter() - start) / rounds
+            report(case=label, microseconds=spent * 1e6)
+    for lenders in (0, 11):
+        limits = {
+            BucketId(f'workspace:{index}'): (100, 100) for index in range(100)
+        }
+        fleet = Fleet(12, 3, limits, seed)
+        node = fleet.nodes[-1]
+        if lenders:
+            for name in limits:
+                fleet.offer(name, 500, 3000, {node: 1}, 90)
+        fleet.run(3000)
+        state = fleet.states[node]
+        seen = {id(state.tables), id(state.index)}
+        total = _size_of(state.buckets, seen) + _size_of(state.borrowers, seen)
+        loans = sum(len(one.borrowed) for one in state.buckets.values())
+        report(
+            case='memory',
+            loans_per_bucket=loans / 100,
+            bytes_per_bucket=total / 100,
+        )
+
+
+CASES = {
+    'shift': run_shift,
+    'burst': run_burst,
+    'skew': run_skew,
+    'scale': run_scale,
+    'cost': run_cost,
+}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('cases', nargs='*', choices=[*CASES, []])
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    for case in options.cases or CASES:
+        CASES[case](options.seed)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/jasmineramp/rate_lending.py
+++ b/src/jasmineramp/rate_lending.py
@@ -33,7 +33,8 @@
     Otherwise the term could end here before it ends at the borrower.
     """
     grants = []
-    for want in request.wants:
+    # A token loan served first could leave no burst to go with the rate.
+    for want in sorted(request.wants, key=lambda one: -one.rate):
         bucket = state.buckets.get(want.bucket)
         if bucket is not None:
             key = (sender, request.session, want.loan)
