--- a/bench/rate_shares.py
+++ b/bench/rate_shares.py
@@ -233,7 +233,7 @@
     def give_up(self, node):
         self.retry(node, self.clock(node))
 
-    def offer(self, name, start, end, weights, rate, ideal=None):
+    def offer(self, name, start, end, *, weights, rate, ideal=None):
         """Offer Poisson calls; weights share them out over the nodes."""
         rate_limit, burst = self.limits[name]
         ideal = ideal or IdealBucket(rate_limit, burst, start)
@@ -298,41 +298,64 @@
 SIZES = (2, 4, 8, 16, 64, 256, 1500)
 
 
-def measure(label, size, domains, limit, before, after, load, seed, skew=0.0):
-    """Offer load, shift it to other nodes at 6 s and report the effect."""
-    fleet = Fleet(size, domains, {NAME: limit}, seed, skew)
-    offered = limit[0] * load
+class Shift(msgspec.Struct):
+    """Describe a load that moves to other nodes while it runs."""
+
+    label: str
+    size: int
+    domains: int
+    limit: tuple[float, float]
+    load: float
+    seed: int
+    after: object
+    skew: float = 0
+
+
+def measure(shift):
+    """Offer load, shift it to other nodes at 8 s and report the effect."""
+    size, limit = shift.size, shift.limit
+    fleet = Fleet(size, shift.domains, {NAME: limit}, shift.seed, shift.skew)
+    offered = limit[0] * shift.load
     # Buckets start empty, so that the first seconds tell nothing.
-    ideal = fleet.offer(NAME, 1000, 8000, before(fleet), offered)
+    ideal = fleet.offer(
+        NAME, 1000, 8000, weights=everywhere(fleet), rate=offered
+    )
     fleet.run(4000)
     fleet.reset()
     fleet.run(8000)
     steady, count = fleet.refused(4000, 8000)
     messages, octets = fleet.messages, fleet.bytes
-    fleet.offer(NAME, 8000, 16000, after(fleet), offered, ideal)
+    fleet.reset()
+    fleet.offer(
+        NAME,
+        8000,
+        16000,
+        weights=shift.after(fleet),
+        rate=offered,
+        ideal=ideal,
+    )
     fleet.run(16000)
-    shift, _ = fleet.refused(8000, 10000)
+    at_once, _ = fleet.refused(8000, 10000)
     settled, later = fleet.refused(10000, 15000)
     waits = sorted(call[4] for call in fleet.calls if call[2])
+    used = sum(call[2] and 10000 <= call[0] < 15000 for call in fleet.calls)
     report(
-        case=label,
+        case=shift.label,
         nodes=size,
-        domains=domains,
-        rate=limit[0],
         burst=limit[1],
-        load=load,
+        load=shift.load,
         excess=float(fleet.excess()),
         served_after_ms=fleet.served_after(8000, 15000),
         refused_steady=steady,
-        refused_2s_after_shift=shift,
-        refused_after=settled,
-        calls=count + later,
+        refused_2s=at_once,
+        refused_later=settled,
+        calls=f'{count}+{later}',
+        admitted_of_rate=used / 5 / limit[0],
         waited=sum(wait > 0 for wait in waits) / max(1, len(waits)),
-        messages_per_node_s=messages / 4 / size,
-        bytes_per_node_s=octets / 4 / size,
-        busiest_bytes_s=max(fleet.received.values(), default=0) / 12,
+        messages_node_s=messages / 4 / size,
+        bytes_node_s=octets / 4 / size,
+        busiest_bytes_s=max(fleet.received.values(), default=0) / 8,
     )
-    return fleet
 
 
 def everywhere(fleet):
@@ -354,38 +377,33 @@
 
 def run_shift(seed):
     for size, domains in ((12, 3), (16, 4)):
-        limit = (400, 200)
         for load in (0.5, 0.9, 3.0):
-            for name, after in (
-                ('one_node', one_node),
-                ('one_domain', one_domain),
-                ('uneven', uneven),
-            ):
+            for after in (one_node, one_domain, uneven):
                 measure(
-                    name, size, domains, limit, everywhere, after, load, seed
+                    Shift(
+                        after.__name__,
+                        size,
+                        domains,
+                        (400, 200),
+                        load,
+                        seed,
+                        after,
+                    )
                 )
 
 
 def run_burst(seed):
     for burst in (1, 2, 5, 10, 20):
-        for size, domains in ((12, 3), (256, 14)):
-            for name, after in (('one_node', one_node), ('uneven', uneven)):
-                measure(
-                    f'small_{name}',
-                    size,
-                    domains,
-                    (20, burst),
-                    everywhere,
-                    after,
-                    0.5,
-                    seed,
-                )
+        for size, domains in ((12, 3), (256, 14), (1500, 14)):
+            for after in (one_node, uneven):
+                limit = (100, burst)
+                name = f'small_{after.__name__}'
+                measure(Shift(name, size, domains, limit, 0.5, seed, after))
 
 
 def run_skew(seed):
-    measure(
-        'skew', 12, 3, (400, 60), everywhere, one_node, 3.0, seed, skew=DRIFT
-    )
+    for load in (0.9, 3.0):
+        measure(Shift('skew', 12, 3, (400, 60), load, seed, one_node, DRIFT))
 
 
 def run_scale(seed):
@@ -407,7 +425,9 @@
                 node: 5 if fleet.domain[node] == home else 1
                 for node in fleet.nodes
             }
-            fleet.offer(name, 1000, 6000, weights, limits[name][0] * 0.8)
+            fleet.offer(
+                name, 1000, 6000, weights=weights, rate=limits[name][0] * 0.8
+            )
         fleet.run(4000)
         fleet.reset()
         calls = len(fleet.calls)
@@ -476,7 +496,7 @@
         node = fleet.nodes[-1]
         if lenders:
             for name in limits:
-                fleet.offer(name, 500, 3000, {node: 1}, 90)
+                fleet.offer(name, 500, 3000, weights={node: 1}, rate=90)
         fleet.run(3000)
         state = fleet.states[node]
         seen = {id(state.tables), id(state.index)}
