--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -13,7 +13,12 @@
 from jasmineramp.clock import Millis
 from jasmineramp.effects import SendMessage
 from jasmineramp.ids import BucketId, DomainId, NodeId
-from jasmineramp.rate_buckets import RateTable, slot_share
+from jasmineramp.rate_buckets import (
+    RateTable,
+    is_narrow,
+    owner_slots,
+    slot_share,
+)
 from jasmineramp.rate_messages import (
     BucketLenders,
     Demand,
@@ -30,6 +35,7 @@
 MOST_LENDERS = 64
 FEWEST_LENDERS = 4
 SUMMARY_LENDERS = 16
+MOST_OWNERS = 16
 SMALLEST_SPARE = 0.01
 
 
@@ -58,6 +64,7 @@
         self.random = random.Random(seed)
         self.table: RateTable | None = None
         self.members: dict[DomainId, list[RateMember]] = {}
+        self.holders: dict[int, RateMember] = {}
         self.seen: dict[BucketId, dict[NodeId, _Seen]] = defaultdict(dict)
         self.summaries: dict[
             DomainId, tuple[Millis, dict[BucketId, DomainDemand]]
@@ -75,6 +82,12 @@
     state.members = defaultdict(list)
     for member in members:
         state.members[member.domain].append(member)
+    state.holders = {
+        member.slot: member
+        for domain in state.members.values()
+        for member in domain
+        if member.slot is not None
+    }
 
 
 def exchange_of(state: ExchangeState, domain: DomainId) -> NodeId | None:
@@ -97,7 +110,10 @@
             spare, max(0, demand.wanted - demand.held), now
         )
         if demand.urgent or demand.wanted > demand.held:
-            lenders = _match(state, sender, demand, now)
+            if _has_few_owners(state, demand.bucket):
+                lenders = _owners(state, sender, demand.bucket)
+            else:
+                lenders = _match(state, sender, demand, now)
             if lenders:
                 buckets.append(BucketLenders(demand.bucket, lenders))
     return LenderHints(tuple(buckets)) if buckets else None
@@ -160,6 +176,36 @@
     return DomainSummary(state.domain, tuple(demands))
 
 
+def _has_few_owners(state: ExchangeState, bucket: BucketId) -> bool:
+    table = state.table
+    return (
+        table is not None
+        and bucket in table.limits
+        and is_narrow(table, bucket)
+    )
+
+
+def _owners(
+    state: ExchangeState, sender: NodeId, bucket: BucketId
+) -> tuple[Lender, ...]:
+    """List the owners of a narrow bucket, those of the own domain first.
+
+    Its tokens move call by call, so no spare rate is set aside.
+    """
+    assert state.table is not None
+    share = state.table.limits[bucket].per_second
+    slots = owner_slots(state.table, bucket)
+    owners = [
+        member
+        for slot in slots
+        if (member := state.holders.get(slot)) and member.node != sender
+    ]
+    state.random.shuffle(owners)
+    owners.sort(key=lambda member: member.domain != state.domain)
+    rate = round(share / len(slots), 3)
+    return tuple(Lender(one.node, rate) for one in owners[:MOST_OWNERS])
+
+
 def _match(
     state: ExchangeState,
     sender: NodeId,
