Learn latency before a new limiter grows, from smaller windows

Cause: the growth of the first windows overloaded a cold instance before the usual latency was known. Windows of 40 samples made the start of an instance with 15 slots slow, since its first limit is 3.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,7 +14,7 @@
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
-FIRST_WINDOWS = 3
+FIRST_WINDOWS = 2
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
 TOLERANCE = 1.1
@@ -27,6 +27,7 @@
 # while it is overloaded would be taken for the usual one.
 START_SHARE = 0.2
 START_GROWTH = 0.25
+START_SAMPLES = 20
 # A smaller limit yields too few samples to notice that latency recovered.
 FLOOR_SHARE = 0.1
 BUSY_SHARE = 0.9
@@ -125,7 +126,8 @@
         if sample.outcome in _MEASURED:
             self._measure(sample)
         elapsed = now - self.window_start
-        if self.samples >= WINDOW_SAMPLES and elapsed >= WINDOW:
+        needed = START_SAMPLES if self.starting else WINDOW_SAMPLES
+        if self.samples >= needed and elapsed >= WINDOW:
             self._close_window(now)
 
     def _measure(self, sample: LatencySample) -> None:
@@ -162,7 +164,9 @@
 
     def _increase(self) -> float:
         if self.starting:
-            return self.limit * START_GROWTH
+            # Latency is learned before more calls run.
+            known = any(row.windows > 1 for row in self.rows.values())
+            return self.limit * START_GROWTH if known else 0
         return math.sqrt(self.limit) / 2
 
     def _ratio(self) -> float:
