Judge a fall of the limit on calls that started after it

Cause: a limit that falls because of latency must tell contention from a slow back end. The judgement used the latency of calls that had started before the fall, the concurrency was an estimate from latencies, and a noisy window could take contention for a slow back end. The running calls are now integrated over time, the judgement waits for one mean latency, all falls of one descent are judged against its start, and latency at the floor becomes the usual one. Steps are larger and windows of low limits shorter. The new tests fail without the wait and the floor rule.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -5,12 +5,13 @@
 
 import msgspec
 
-from jasmineramp.clock import ORIGIN, Millis
+from jasmineramp.clock import ORIGIN, Millis, later
 from jasmineramp.ids import RowName
 
 # A window needs enough samples for a mean and enough time for an effect.
 WINDOW = 100
 WINDOW_SAMPLES = 40
+LEAST_SAMPLES = 5
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
 LONG_TERM_FALL = 3000
@@ -20,9 +21,12 @@
 TOLERANCE = 1.1
 TOLERANCE_SPREAD = 1.5
 LEAST_GRADIENT = 0.5
-SMOOTHING = 0.5
+SMOOTHING = 0.7
 # Fall of the running calls after which the latency must have fallen too.
-DESCENT = 0.6
+DESCENT = 0.65
+# Latency that grows in proportion to the running calls (exponent 1) costs no
+# throughput, so that a lower limit would gain nothing.
+LATENCY_EXPONENT = 0.85
 # A cold instance cannot use its announced slots yet, and latency measured
 # while it is overloaded would be taken for the usual one.
 START_SHARE = 0.2
@@ -80,6 +84,8 @@
     limit: float
     ratio: float
     concurrency: float
+    judged_fall: float = DESCENT
+    judged_from: Millis | None = None
 
 
 class Limiter:
@@ -92,6 +98,8 @@
     def __init__(self, slots: int, connections: int | None = None) -> None:
         self.rows: dict[RowName, _RowLatency] = {}
         self.running = 0
+        self.running_time: float = 0
+        self.changed = ORIGIN
         self.peak = 0
         self.window_start = ORIGIN
         self.samples = 0
@@ -114,11 +122,13 @@
 
     def started(self, now: Millis) -> None:
         """Count a call that starts at the upstream."""
+        self._integrate(now)
         self.running += 1
         self.peak = max(self.peak, self.running)
 
     def finished(self, sample: LatencySample, now: Millis) -> None:
         """Take the sample of a call that ended and adapt the limit."""
+        self._integrate(now)
         self.running -= 1
         if sample.outcome in _OVERLOAD:
             self.overloads += 1
@@ -126,10 +136,21 @@
         if sample.outcome in _MEASURED:
             self._measure(sample)
         elapsed = now - self.window_start
-        needed = START_SAMPLES if self.starting else WINDOW_SAMPLES
-        if self.samples >= needed and elapsed >= WINDOW:
+        if elapsed >= WINDOW and self.samples >= self._needed_samples():
             self._close_window(now)
 
+    def _needed_samples(self) -> float:
+        if self.starting:
+            return START_SAMPLES
+        if self.descent is None:
+            return WINDOW_SAMPLES
+        # A low limit yields few samples, and a descent must not take long.
+        return min(WINDOW_SAMPLES, LEAST_SAMPLES + 2 * self.limit)
+
+    def _integrate(self, now: Millis) -> None:
+        self.running_time += self.running * (now - self.changed)
+        self.changed = now
+
     def _measure(self, sample: LatencySample) -> None:
         row = self.rows.get(sample.row)
         if row is None:
@@ -141,18 +162,16 @@
 
     def _close_window(self, now: Millis) -> None:
         elapsed = now - self.window_start
-        limit = self.limit * (1 - self.overloads / self.samples / 2)
         ratio = self._ratio()
         tolerance = TOLERANCE + TOLERANCE_SPREAD / math.sqrt(self.samples)
-        if ratio <= tolerance:
+        if ratio > tolerance:
+            limit = self._descend(ratio, tolerance / ratio, now)
+        else:
             self.descent = None
-            if self.peak >= math.floor(self.limit) * BUSY_SHARE:
+            limit = self.limit
+            if self.peak >= math.floor(limit) * BUSY_SHARE:
                 limit += self._increase()
-        elif self._follows_concurrency(ratio, elapsed):
-            gradient = max(LEAST_GRADIENT, tolerance / ratio)
-            limit *= 1 - SMOOTHING * (1 - gradient)
-        else:
-            limit = self._adopt_latency(ratio)
+        limit -= self.limit * self.overloads / self.samples / 2
         if ratio > tolerance or self.overloads or limit >= self.ceiling:
             self.starting = False
         self._set_limit(limit)
@@ -160,6 +179,7 @@
         self.window_start = now
         self.samples = 0
         self.overloads = 0
+        self.running_time = 0
         self.peak = self.running
 
     def _increase(self) -> float:
@@ -175,37 +195,48 @@
         usual = math.fsum(row.long_term * row.count for row in known)
         return measured / usual if usual > 0 else 1
 
-    def _follows_concurrency(self, ratio: float, elapsed: float) -> bool:
-        """Tell whether the latency still may be due to the running calls.
+    def _descend(self, ratio: float, gradient: float, now: Millis) -> float:
+        """Return a lower limit while latency follows the running calls.
 
         Latency that does not fall together with the number of running calls
         has another cause, such as a slow service further down.
         """
-        total = math.fsum(row.total for row in self.rows.values())
-        concurrency = total / elapsed
+        lower = 1 - SMOOTHING * (1 - max(LEAST_GRADIENT, gradient))
+        concurrency = self.running_time / (now - self.window_start)
         descent = self.descent
         if descent is None:
             self.descent = _Descent(self.limit, ratio, concurrency)
-            return True
-        if ratio >= descent.ratio and concurrency >= descent.concurrency:
-            descent.ratio = ratio
-            descent.concurrency = concurrency
-            return True
+            return self.limit * lower
         fall = concurrency / descent.concurrency
-        if fall > DESCENT:
-            descent.ratio = max(ratio, descent.ratio)
-            return True
-        if ratio > descent.ratio * math.sqrt(fall):
-            return False
-        descent.ratio = ratio
-        descent.concurrency = concurrency
-        return True
-
-    def _adopt_latency(self, ratio: float) -> float:
-        """Take the present latency as usual and return the former limit."""
+        at_floor = self.limit <= self._floor()
+        if fall > descent.judged_fall and not at_floor:
+            descent.ratio = max(descent.ratio, ratio)
+            descent.concurrency = max(descent.concurrency, concurrency)
+            return self.limit * lower
+        if descent.judged_from is None:
+            descent.judged_from = later(now, self._mean_latency())
+        if self.window_start < descent.judged_from:
+            # Calls that started before the fall end in this window.
+            descent.ratio = max(descent.ratio, ratio)
+            return self.limit
+        if ratio > descent.ratio * fall**LATENCY_EXPONENT:
+            return self._adopt_latency(ratio, descent.limit)
+        if at_floor:
+            return self._adopt_latency(ratio, self.limit)
+        # Later falls are judged against the same start, which takes the
+        # noise of a single window out.
+        descent.judged_fall = fall * DESCENT
+        descent.judged_from = None
+        return self.limit * lower
+
+    def _mean_latency(self) -> float:
+        total = math.fsum(row.total for row in self.rows.values())
+        return total / max(1, sum(row.count for row in self.rows.values()))
+
+    def _adopt_latency(self, ratio: float, limit: float) -> float:
+        """Take the present latency as usual from now on."""
         for row in self.rows.values():
             row.long_term *= ratio
-        limit = self.limit if self.descent is None else self.descent.limit
         self.descent = None
         return limit
 
@@ -225,9 +256,11 @@
             row.total = 0
             row.count = 0
 
+    def _floor(self) -> float:
+        return max(1, self.ceiling * FLOOR_SHARE)
+
     def _set_limit(self, limit: float) -> None:
-        floor = max(1, self.ceiling * FLOOR_SHARE)
-        self.limit = min(self.ceiling, max(floor, limit))
+        self.limit = min(self.ceiling, max(self._floor(), limit))
 
 
 class _Estimate(msgspec.Struct, gc=False):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,7 @@
 """Test the adaptive concurrency limit."""
 
+import heapq
+import random
 import unittest
 
 from hypothesis import given
@@ -32,6 +34,41 @@
     return now
 
 
+def serve(limiter, change, slots=1.0, factor=1.0, seed=1):
+    """Serve seven tenths of the capacity; return the limit every 100 ms.
+
+    After the time of the change, the upstream has fewer slots (a share of
+    100) or a service further down is slower. Calls take 50 ms on average.
+    """
+    source = random.Random(seed)
+    now = served = arrival = shown = 0.0
+    waiting = 0
+    ends: list[tuple[float, float]] = []
+    limits = []
+    while now < change + 5000:
+        real, slow = (100 * slots, factor) if now >= change else (100, 1)
+        pace = slow * max(1, limiter.running / real) ** 1.5
+        end = now + (ends[0][0] - served) * pace if ends else arrival
+        if arrival <= end:
+            served += (arrival - now) / pace
+            now = arrival
+            arrival += source.expovariate(1.4)
+            waiting = min(waiting + 1, 400)
+        else:
+            served, started = heapq.heappop(ends)
+            now = end
+            limiter.finished(LatencySample(now - started), Millis(now))
+        while waiting and limiter.running + 1 <= limiter.limit:
+            waiting -= 1
+            limiter.started(Millis(now))
+            work = source.gammavariate(4, 12.5)
+            heapq.heappush(ends, (served + work, now))
+        while shown <= now:
+            limits.append(limiter.limit)
+            shown += 100
+    return limits
+
+
 class LimiterTest(unittest.TestCase):
     """Guard the limit against overload and against needless decreases."""
 
@@ -58,6 +95,27 @@
             drive(limiter, lambda _, slow=20 * factor: slow, 4000, now)
             self.assertEqual(limiter.limit, 100)
 
+    def test_tells_contention_from_a_slow_back_end(self) -> None:
+        """Guard against a judgement on calls from before the limit fell."""
+        for seed in range(1, 7):
+            limits = serve(Limiter(100), 4000, 0.4, 1, seed)
+            self.assertEqual(limits[39], 100)
+            self.assertLess(max(limits[50:]), 80)
+            limits = serve(Limiter(100), 4000, 1, 3, seed)
+            self.assertLess(min(limits[40:60]), 100)
+            self.assertEqual(set(limits[65:]), {100})
+
+    def test_latency_at_the_floor_becomes_the_usual_one(self) -> None:
+        """Guard against a limit that stays at the floor for good."""
+        limiter = Limiter(100)
+        now = drive(limiter, lambda _: 20, 2000)
+
+        def slower(running: float) -> float:
+            return 60 * max(1, running / 10) ** 2
+
+        drive(limiter, slower, 5000, now)
+        self.assertGreater(limiter.limit, 12)
+
     def test_few_timeouts_do_not_close_the_instance(self) -> None:
         """Guard against a limit that one bad row drives to the floor."""
         limiter = Limiter(100)
