Learn no latency during a descent of the limit

Cause: while the limit fell, the overloaded latency entered the long-term latency within seconds, and the limit settled above the real slots. The fall of the long-term latency is slower, since its bias to lucky windows caused needless descents.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,7 +14,7 @@
 LEAST_SAMPLES = 5
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM_RISE = 30_000
-LONG_TERM_FALL = 3000
+LONG_TERM_FALL = 10_000
 FIRST_WINDOWS = 2
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
@@ -242,17 +242,9 @@
 
     def _update_long_term(self, elapsed: float) -> None:
         for row in self.rows.values():
-            if not row.count:
-                continue
-            gap = row.total / row.count - row.long_term
-            constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
-            # The calls that finish in the first window are the short ones,
-            # so the second one replaces it. The third counts equally.
-            row.windows += 1
-            gain = elapsed / constant
-            if row.windows <= FIRST_WINDOWS:
-                gain = 1 / max(1, row.windows - 1)
-            row.long_term += gap * min(1, gain)
+            # A descent itself decides whether its latency is usual.
+            if row.count and self.descent is None:
+                _follow(row, elapsed)
             row.total = 0
             row.count = 0
 
@@ -263,6 +255,18 @@
         self.limit = min(self.ceiling, max(self._floor(), limit))
 
 
+def _follow(row: _RowLatency, elapsed: float) -> None:
+    row.windows += 1
+    gap = row.total / row.count - row.long_term
+    constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
+    gain = min(1, elapsed / constant)
+    # The calls that finish in the first window are the short ones, so the
+    # mean of the second window replaces it.
+    if row.windows <= FIRST_WINDOWS:
+        gain = 1
+    row.long_term += gap * gain
+
+
 class _Estimate(msgspec.Struct, gc=False):
     """Hold a mean in milliseconds and the time of its last sample."""
 
