Count refusals while a less important call runs

No refusal came while a less important call waited. Conclusion: the remaining ones fall into the moments in which the limit falls, while calls that started before still run.

--- a/bench/admission_policy.py
+++ b/bench/admission_policy.py
@@ -161,6 +161,7 @@
                 f' recovery {"never" if late >= bound else late:>5}'
                 f' worst {run.worst_share():6.1%}'
                 f' inversions waiting {run.waiting_inversions}'
+                f' running {run.running_inversions}'
                 f' later {run.later_inversions()}'
                 f' of {len(run.refusals)}'
                 f' least limit {run.least_limit:.0f}',
--- a/bench/instance_simulation.py
+++ b/bench/instance_simulation.py
@@ -78,6 +78,8 @@
         self.refusals = []
         self.starts = collections.defaultdict(list)
         self.waiting_inversions = 0
+        self.running_inversions = 0
+        self.busy = collections.Counter()
         self.good_work = collections.Counter()
         self.demand = collections.Counter()
         self.least_limit = float(slots)
@@ -148,7 +150,7 @@
     def on_try(self, request) -> None:
         request.tries += 1
         if not self.system.admits(request.importance, self.now):
-            self.refusals.append((self.now, request.importance))
+            self.count_refusal(request.importance)
             self.fail(request)
             return
         call = QueuedCall(
@@ -187,6 +189,7 @@
     def end(self, call_id, outcome) -> None:
         self.running.discard(call_id)
         call, request = self.calls.pop(call_id)
+        self.busy[call.importance] -= 1
         if outcome is not CallOutcome.succeeded:
             self.fail(request)
         elif self.now <= call.deadline:
@@ -205,17 +208,24 @@
                 end = self.served + request.work
                 heapq.heappush(self.ends, (end, call.call_id))
                 self.running.add(call.call_id)
+                self.busy[call.importance] += 1
                 self.starts[call.importance].append(self.now)
             elif isinstance(decision, Refuse):
                 _, request = self.calls.pop(call.call_id)
                 if decision.code is RefusalCode.overloaded:
-                    self.refusals.append((self.now, call.importance))
+                    self.count_refusal(call.importance)
                     self.count_waiting(call.importance, decisions)
                 self.fail(request)
             else:
                 self.queued[call.call_id] = call
                 self.waiting[call.importance] += 1
 
+    def count_refusal(self, importance) -> None:
+        self.refusals.append((self.now, importance))
+        self.running_inversions += any(
+            self.busy[lower] for lower in range(1, importance)
+        )
+
     def count_waiting(self, importance, decisions) -> None:
         refused = collections.Counter(
             decision.call.importance
