--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -22,15 +22,17 @@
 def make_table(service: str, slots: int) -> str:
     """Return a table with one open workspace for the measurement."""
     digest = hashlib.sha256(KEY.encode()).hexdigest()
-    return json.dumps({
-        'calls': [
-            {'name': 'work', 'service': service, 'path': '/work'},
-            {'name': 'idle', 'service': 'other', 'path': '/other'},
-        ],
-        'workspaces': [{'name': 'bench', 'rate': 1e6, 'burst': 1e5}],
-        'keys': [{'digest': digest, 'workspace': 'bench'}],
-        'rate_slots': slots,
-    })
+    return json.dumps(
+        {
+            'calls': [
+                {'name': 'work', 'service': service, 'path': '/work'},
+                {'name': 'idle', 'service': 'other', 'path': '/other'},
+            ],
+            'workspaces': [{'name': 'bench', 'rate': 1e6, 'burst': 1e5}],
+            'keys': [{'digest': digest, 'workspace': 'bench'}],
+            'rate_slots': slots,
+        }
+    )
 
 
 def _measure(targets: dict[str, str], calls: int, rate: float) -> dict:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from dataclasses import dataclass
+from typing import Any
 
 PYTHON = sys.executable
 SCRIPTS = pathlib.Path(PYTHON).parent
@@ -183,13 +184,33 @@
         raise TimeoutError(address)
 
     def _end_all(self) -> None:
-        for process in self.processes.values():
+        platform = self.processes.pop('platform', None)
+        self.end(list(self.processes))
+        if platform is not None:
+            platform.terminate()
+            platform.wait(STOP_SECONDS)
+
+    def end(self, names: list[str]) -> dict[str, int]:
+        """Stop processes gracefully; return their exit statuses."""
+        processes = {name: self.processes.pop(name) for name in names}
+        for process in processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.terminate()
         until = time.monotonic() + STOP_SECONDS
-        for process in self.processes.values():
+        for name, process in processes.items():
             try:
                 process.wait(max(0.1, until - time.monotonic()))
             except subprocess.TimeoutExpired:
+                print(f'{name} did not stop in time')
                 process.kill()
+                process.wait()
+        return {name: process.returncode for name, process in processes.items()}
+
+    def status(self, index: int) -> dict[str, Any]:
+        """Return the status of a node from its operator port."""
+        connection = http.client.HTTPConnection(self.operator(index), timeout=5)
+        connection.request('GET', '/status')
+        body = connection.getresponse().read()
+        connection.close()
+        return json.loads(body)
--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -16,7 +16,12 @@
     Decide,
 )
 from jasmineramp.clock import Clock
-from jasmineramp.effects import Effect, RecordEvent, SendMessage
+from jasmineramp.effects import (
+    CountRefusal,
+    Effect,
+    RecordEvent,
+    SendMessage,
+)
 from jasmineramp.events import Event, Tick
 from jasmineramp.ids import CallId, NodeId
 from jasmineramp.messages import Message
@@ -42,6 +47,9 @@
     def record(self, event: RecordEvent) -> None:
         """Record an event on the time line."""
 
+    def count_refusal(self, effect: CountRefusal) -> None:
+        """Count a refusal under its reason."""
+
     def cancel_run(self, call_id: CallId) -> None:
         """Break the upstream connection of a running call."""
 
@@ -115,6 +123,10 @@
     def _(self, effect: RecordEvent) -> None:
         self.performer.record(effect)
 
+    @perform.register
+    def _(self, effect: CountRefusal) -> None:
+        self.performer.count_refusal(effect)
+
     @perform.register
     def _(self, effect: CancelRun) -> None:
         self.performer.cancel_run(effect.call_id)
--- a/src/jasmineramp/call_endings.py
+++ b/src/jasmineramp/call_endings.py
@@ -11,7 +11,7 @@
 )
 from jasmineramp.claim_messages import ClaimEnd
 from jasmineramp.clock import Millis
-from jasmineramp.effects import Effect, EventKind, RecordEvent
+from jasmineramp.effects import CountRefusal, Effect, EventKind, RecordEvent
 from jasmineramp.ids import RequestId, RowName, WorkspaceId
 from jasmineramp.refusals import Refusal, RefusalCode, RunState
 from jasmineramp.state import EntryCall, NodeState
@@ -100,9 +100,10 @@
         revision=refusal.revision or state.configuration.revision,
         request_id=request_id,
     )
+    workspace = header.workspace if header else _NO_WORKSPACE
     fields = {
         'request_id': request_id,
-        'workspace': header.workspace if header else _NO_WORKSPACE,
+        'workspace': workspace,
         'call': header.row if header else RowName(refusal.row),
         'hop': header.hop if header else 0,
         'code': whole.code.value,
@@ -117,4 +118,5 @@
     return [
         Decide(event.call_id, Refused(whole)),
         RecordEvent(EventKind.call_refused, fields),
+        CountRefusal(workspace, whole),
     ]
--- a/src/jasmineramp/effects.py
+++ b/src/jasmineramp/effects.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
-from jasmineramp.ids import NodeId
+from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.messages import Message
+from jasmineramp.refusals import Refusal
 
 
 class Effect(msgspec.Struct, frozen=True):
@@ -20,6 +21,13 @@
     message: Message
 
 
+class CountRefusal(Effect, frozen=True):
+    """Count a refusal under its reason."""
+
+    workspace: WorkspaceId
+    refusal: Refusal
+
+
 class EventKind(enum.Enum):
     """Name the kinds of events on the time line."""
 
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -5,8 +5,9 @@
 import secrets
 import threading
 import time
-from collections import deque
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import pykka
 from waitress.server import create_server
@@ -22,7 +23,7 @@
 from jasmineramp.claim_settings import ClaimSettings
 from jasmineramp.clock import Clock, Millis, MonotonicClock
 from jasmineramp.configuration_state import ConfigurationState
-from jasmineramp.effects import RecordEvent
+from jasmineramp.effects import CountRefusal, RecordEvent
 from jasmineramp.events import MessageReceived
 from jasmineramp.exceptions import AddressInUseError, MessageError
 from jasmineramp.exchange import ExchangeState
@@ -33,6 +34,8 @@
 from jasmineramp.membership_messages import NodeEntry, Upstream
 from jasmineramp.membership_state import MembershipState
 from jasmineramp.messages import Message
+from jasmineramp.operator_http import OperatorApplication
+from jasmineramp.operator_view import NodeRecords, NodeView
 from jasmineramp.peers import HopAnswer, HopRequest, PeerNetwork
 from jasmineramp.rates import RateState
 from jasmineramp.routing import RoutingState
@@ -48,10 +51,14 @@
 from jasmineramp.upstreams import UpstreamClient
 
 STORE_THREADS = 6
+OPERATOR_THREADS = 2
 IDLE_POLL_SECONDS = 0.05
+# Loans end after 5 s; then the rate slot is given back.
+HAND_OVER_MS = 8000
 CALLER_CONNECTIONS = 2000
 CALLER_BACKLOG = 1024
-_MILLIS_PER_SECOND = 1000
+
+WsgiApplication = Callable[..., Any]
 
 _log = get_logger(__name__)
 
@@ -91,9 +98,14 @@
         rates=RateState(settings.node, incarnation, now),
         exchange=ExchangeState(settings.node, settings.domain, seed),
         claims=ClaimState(claim_settings, seed),
+        domains=settings.domains,
     )
 
 
+def _do_nothing() -> None:
+    """Ignore a drain request until the command listens for it."""
+
+
 class Node:
     """Run one node: callers, peers, platform and the state in its actor."""
 
@@ -103,7 +115,8 @@
         self.stack = contextlib.ExitStack()
         self.addresses: dict[NodeId, str] = {}
         self.store = HttpStore(settings.platform) if settings.platform else None
-        self.events: deque[RecordEvent] = deque(maxlen=1000)
+        self.records = NodeRecords(settings.node, self.clock)
+        self.on_drain: Callable[[], None] = _do_nothing
         try:
             self._assemble()
         except BaseException:
@@ -114,7 +127,8 @@
         """Begin to serve; the server threads run in the background."""
         self.network.start()
         self.ticker.start()
-        self.server_thread.start()
+        for server in self.servers:
+            server.start()
 
     def load_table(self, revision: Revision, body: bytes) -> None:
         """Put a table from a file in force."""
@@ -124,13 +138,9 @@
     def stop(self) -> None:
         """Stop gracefully: finish calls, hand over, then close."""
         self.actor.tell(Delivery(StopRequested()))
-        until = time.monotonic() + (
-            self.settings.stop_after_ms / _MILLIS_PER_SECOND
-        )
-        while time.monotonic() < until:
-            if self.dispatcher.inspect(propagation.is_idle):
-                break
-            time.sleep(IDLE_POLL_SECONDS)
+        self._wait_while(propagation.has_calls, self.settings.stop_after_ms)
+        # The platform may be down; what a node holds lapses by itself.
+        self._wait_while(propagation.holds_anything, HAND_OVER_MS)
         self.close()
 
     def close(self) -> None:
@@ -149,13 +159,28 @@
 
     def record(self, event: RecordEvent) -> None:
         """Record an event on the time line."""
-        self.events.append(event)
+        self.records.record(event)
         _log.info(event.kind.value, **event.fields)
 
+    def count_refusal(self, effect: CountRefusal) -> None:
+        """Count a refusal under its reason."""
+        self.records.count_refusal(effect.workspace, effect.refusal)
+
     def cancel_run(self, call_id: CallId) -> None:
         """Break the upstream connection of a running call."""
         self.upstream.cancel(call_id)
 
+    def _wait_while(
+        self,
+        condition: Callable[[NodeState], bool],
+        duration: float,
+    ) -> None:
+        until = self.clock.now() + duration
+        while self.clock.now() < until:
+            if not self.dispatcher.inspect(condition):
+                return
+            time.sleep(IDLE_POLL_SECONDS)
+
     def _assemble(self) -> None:
         settings = self.settings
         self.state = build_state(
@@ -193,33 +218,53 @@
             peer_address=settings.peer,
         )
         gateway = Gateway(settings.node, self.runner, self._announce)
-        host, port = split_address(settings.caller)
-        try:
-            self.server = create_server(
+        view = NodeView(self.dispatcher, self.records, self._drain)
+        self.servers = (
+            self._open_server(
                 gateway,
+                settings.caller,
+                settings.caller_threads,
+            ),
+            self._open_server(
+                OperatorApplication(view),
+                settings.operator,
+                OPERATOR_THREADS,
+            ),
+        )
+
+    def _open_server(
+        self,
+        application: WsgiApplication,
+        address: str,
+        threads: int,
+    ) -> threading.Thread:
+        host, port = split_address(address)
+        try:
+            server = create_server(
+                application,
                 host=host,
                 port=port,
-                threads=settings.caller_threads,
+                threads=threads,
                 connection_limit=CALLER_CONNECTIONS,
                 backlog=CALLER_BACKLOG,
                 asyncore_use_poll=True,
                 channel_request_lookahead=1,
-                max_request_body_size=settings.largest_body_bytes,
+                max_request_body_size=self.settings.largest_body_bytes,
                 ident=None,
             )
         except OSError:
-            raise AddressInUseError(settings.caller) from None
-        self.stack.callback(self.server.close)
-        self.server_thread = threading.Thread(
-            target=self._serve,
-            name='caller-server',
-            daemon=True,
-        )
+            raise AddressInUseError(address) from None
+        self.stack.callback(server.close)
+
+        def serve() -> None:
+            # Closing a server while it polls raises OSError here.
+            with contextlib.suppress(OSError):
+                server.run()
+
+        return threading.Thread(target=serve, name=address, daemon=True)
 
-    def _serve(self) -> None:
-        # Closing the server while it polls raises OSError in this thread.
-        with contextlib.suppress(OSError):
-            self.server.run()
+    def _drain(self) -> None:
+        self.on_drain()
 
     def _shut_down(self, executor: ThreadPoolExecutor) -> None:
         executor.shutdown(wait=False, cancel_futures=True)
--- a/src/jasmineramp/node_command.py
+++ b/src/jasmineramp/node_command.py
@@ -51,6 +51,7 @@
                 remedy='name a platform in the settings to keep edits',
             )
             node.load_table(_FILE_REVISION, body)
+        node.on_drain = stop.set
         node.start()
         log.info('node_started', caller=settings.caller, peer=settings.peer)
         stop.wait()
--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -6,6 +6,7 @@
     hops,
     idempotency,
     membership,
+    rate_slots,
     rates,
     routing,
 )
@@ -17,9 +18,10 @@
 from jasmineramp.exchange import RateMember
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.rate_buckets import NEVER
+from jasmineramp.rate_slots import RateSlotState, SlotSettings
 from jasmineramp.rates import SlotLease, rate_table
 from jasmineramp.state import NodeState
-from jasmineramp.store_messages import StoreAnswered
+from jasmineramp.table import Table
 
 REFRESH_MS = 200
 
@@ -115,6 +117,7 @@
         exchange.set_table(state.exchange, limits)
         membership.set_revision(state.membership, revision)
         withdrawn = before.workspaces.keys() - state.keys.workspaces.keys()
+        effects += _set_slots(state, table, now)
         effects += hops.withdraw_keys(state, frozenset(withdrawn), now)
     accepted = state.configuration.accepted
     if accepted != state.accepted_revision:
@@ -123,12 +126,48 @@
     return effects
 
 
-def store_answered(
-    state: NodeState,
-    event: StoreAnswered,
-    now: Millis,
-) -> list[Effect]:
-    """React to answers of the platform that concern the node itself."""
+def refresh_slot(state: NodeState, now: Millis) -> list[Effect]:
+    """Search or renew the rate slot and tell who uses it.
+
+    A node that stops gives its slot back once its loans have ended, because
+    the next holder uses the whole share at once.
+    """
+    slots = state.slots
+    if slots is None:
+        return []
+    effects = rate_slots.tick(slots, now)
+    if state.stopping and not rates.has_lent(state.rates):
+        effects += rate_slots.release(slots, now)
+    held = rate_slots.held_slot(slots, now)
+    lease = None
+    if held is not None and not state.stopping:
+        slot = held * len(state.domains) + state.domains.index(state.domain)
+        lease = SlotLease(slot, slots.valid_until, slots.fresh)
+    if lease != state.rates.lease:
+        rates.set_slot(state.rates, lease, now)
+        slot_number = None if lease is None else lease.slot
+        membership.set_rate_slot(state.membership, slot_number, now)
+    return effects
+
+
+def _set_slots(state: NodeState, table: Table, now: Millis) -> list[Effect]:
+    """Adopt the number of rate slots of the own failure domain.
+
+    Slots go round the failure domains, so that the number of a slot does not
+    change when an edit changes how many there are.
+    """
+    if not state.configuration.has_platform:
+        return []
+    position = state.domains.index(state.domain)
+    count = max(0, table.rate_slots - position - 1)
+    count = count // len(state.domains) + (table.rate_slots > position)
+    if state.slots is not None:
+        return rate_slots.set_slots(state.slots, count, now)
+    if count:
+        entry = state.membership.entry
+        settings = SlotSettings(entry.address, entry.incarnation, state.domain)
+        seed = state.random.getrandbits(32)
+        state.slots = RateSlotState(settings, count, seed)
     return []
 
 
@@ -144,7 +183,13 @@
     return effects
 
 
-def is_idle(state: NodeState) -> bool:
-    """Tell whether no call is open and nothing is left to hand over."""
-    busy = state.calls or state.running or state.pending_hops
-    return not busy and not idempotency.owns_any(state.claims)
+def has_calls(state: NodeState) -> bool:
+    """Tell whether a call is open on the node."""
+    return bool(state.calls or state.running or state.pending_hops)
+
+
+def holds_anything(state: NodeState) -> bool:
+    """Tell whether a rate slot or a claim partition is left to hand over."""
+    if state.slots is not None and not rate_slots.is_stopped(state.slots):
+        return True
+    return idempotency.owns_any(state.claims)
--- a/src/jasmineramp/rate_slots.py
+++ b/src/jasmineramp/rate_slots.py
@@ -94,6 +94,8 @@
         self.last_probe = slots
         self.free: int | None = None
         self.stopping = False
+        # A slot whose key was absent has no predecessor with live loans.
+        self.fresh = False
 
     @property
     def lease(self) -> str:
@@ -105,6 +107,11 @@
         )
 
 
+def is_stopped(state: RateSlotState) -> bool:
+    """Tell whether the slot has been given back for good."""
+    return state.phase is SlotPhase.stopped
+
+
 def held_slot(state: RateSlotState, now: Millis) -> SlotIndex | None:
     """Return the slot if it may be used now; call it right before use."""
     if state.phase in _IN_USE and now < state.valid_until:
@@ -225,6 +232,7 @@
     state: RateSlotState, index: int, revision: int, now: Millis
 ) -> list[Effect]:
     state.index = SlotIndex(index)
+    state.fresh = revision == 0
     entry = SlotEntry(state.settings.address, state.settings.incarnation)
     write = CompareAndSwap(
         _slot_key(state, index), revision, _encode(entry), state.lease
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -54,6 +54,7 @@
     'accept_loan',
     'describe_excess',
     'expire',
+    'has_lent',
     'lend',
     'pending_messages',
     'rate_table',
@@ -187,6 +188,12 @@
     )
 
 
+def has_lent(state: RateState) -> bool:
+    """Tell whether a part of the own share is lent to another node."""
+    buckets = (*state.buckets.values(), *state.retired.values())
+    return any(bucket.lent for bucket in buckets)
+
+
 def expire(state: RateState, now: Millis) -> None:
     """End the shares whose time is over and the requests without answer."""
     for bucket in state.buckets.values():
--- a/src/jasmineramp/reducer.py
+++ b/src/jasmineramp/reducer.py
@@ -12,6 +12,7 @@
     idempotency,
     membership,
     propagation,
+    rate_slots,
     rates,
     retries,
 )
@@ -140,7 +141,10 @@
             now,
         )
         return effects + propagation.adopt_table(state, now)
-    return propagation.store_answered(state, event, now)
+    if event.role is Role.rate_slot and state.slots is not None:
+        effects = rate_slots.answered(state.slots, event, now)
+        return effects + propagation.refresh_slot(state, now)
+    return []
 
 
 @_reduce.register
@@ -153,6 +157,7 @@
         now,
     )
     effects += propagation.adopt_table(state, now)
+    effects += propagation.refresh_slot(state, now)
     effects += rates.tick(state.rates, now)
     effects += exchange.tick(state.exchange, now)
     effects += calls.resume_parked(state, now)
--- a/src/jasmineramp/state.py
+++ b/src/jasmineramp/state.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -28,6 +28,7 @@
 )
 from jasmineramp.membership_messages import Instance, Upstream
 from jasmineramp.membership_state import MembershipState
+from jasmineramp.rate_slots import RateSlotState
 from jasmineramp.rates import RateState
 from jasmineramp.retries import Retry, RetryState
 from jasmineramp.routing import RoutingState
@@ -87,6 +88,7 @@
         rates: RateState,
         exchange: ExchangeState,
         claims: ClaimState,
+        domains: Sequence[DomainId],
     ) -> None:
         self.node = node
         self.domain = domain
@@ -97,6 +99,8 @@
         self.rates = rates
         self.exchange = exchange
         self.claims = claims
+        self.domains = domains
+        self.slots: RateSlotState | None = None
         self.retries = RetryState()
         self.admission: AdmissionState | None = None
         self.upstream: Upstream | None = None
