--- a/src/jasmineramp/store_http.py
+++ b/src/jasmineramp/store_http.py
@@ -1,10 +1,13 @@
 """Bind the platform store to HTTP."""
 
+import threading
 from http import HTTPStatus
 
 import msgspec
 import urllib3
 
+from jasmineramp.clock import Clock
+from jasmineramp.store_budget import StoreBudget
 from jasmineramp.store_messages import (
     Get,
     Operation,
@@ -97,6 +100,41 @@
         )
 
 
+class BudgetedStore:
+    """Run operations on a store as far as the budget allows.
+
+    Safe for use by several threads. An operation that the budget refuses is
+    not done; the caller repeats it later.
+    """
+
+    def __init__(
+        self, store: HttpStore, budget: StoreBudget, clock: Clock
+    ) -> None:
+        self.store = store
+        self.budget = budget
+        self.clock = clock
+        self.lock = threading.Lock()
+
+    def run(self, operation: Operation, role: Role) -> StoreAnswer:
+        """Run an operation and return its answer; never raises."""
+        with self.lock:
+            wait = self.budget.admit(role, operation, self.clock.now())
+        if wait:
+            return StoreAnswer(
+                Outcome.not_done, detail=f'refused by budget for {wait:.0f} ms'
+            )
+        answer = self.store.run(operation, role)
+        with self.lock:
+            self.budget.finished(
+                role, operation, answer.outcome, self.clock.now()
+            )
+        return answer
+
+    def close(self) -> None:
+        """Close the store."""
+        self.store.close()
+
+
 def _read_answer(
     operation: Operation, response: urllib3.BaseHTTPResponse
 ) -> StoreAnswer:
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -160,7 +160,7 @@
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
 
-    def run(self, operation: Operation) -> StoreAnswer:
+    def run(self, operation: Operation, role: object = None) -> StoreAnswer:
         """Run an operation and return its answer."""
         self.calls[type(operation).__name__] += 1
         if self.faults.down:
--- /dev/null
+++ b/tests/test_store_budget.py
@@ -0,0 +1,173 @@
+"""Test that a fleet stays below the platform's request rates."""
+
+import collections
+import heapq
+import unittest
+
+from jasmineramp.clock import ManualClock, Millis
+from jasmineramp.store_budget import BreakerState, StoreBudget
+from jasmineramp.store_http import BudgetedStore
+from jasmineramp.store_messages import (
+    CompareAndSwap,
+    Get,
+    Outcome,
+    Role,
+    Watch,
+)
+from tests.fakes.store import FakeStore
+
+NODES = 1500
+WRITES_LIMIT = 400
+READS_LIMIT = 2000
+WRITE = CompareAndSwap('slots/a/0', 0, b'')
+READ = Get('slots/a/0')
+
+
+class Fleet:
+    """Let every node call as often as its budget admits."""
+
+    def __init__(self, role: Role, start: float, end: float) -> None:
+        self.role = role
+        self.outage = (start, end)
+        self.sent: collections.Counter[tuple[bool, int]] = collections.Counter()
+        self.returned: set[int] = set()
+        self.budgets = [StoreBudget(seed) for seed in range(NODES)]
+
+    def run(self, until: float) -> None:
+        queue = [
+            (0.0, node, is_read)
+            for node in range(NODES)
+            for is_read in (False, True)
+        ]
+        while queue:
+            now, node, is_read = heapq.heappop(queue)
+            if now >= until:
+                continue
+            budget = self.budgets[node]
+            operation = READ if is_read else WRITE
+            wait = budget.admit(self.role, operation, Millis(now))
+            if not wait:
+                self.sent[is_read, int(now / 1000)] += 1
+                down = self.outage[0] <= now < self.outage[1]
+                outcome = Outcome.not_done if down else Outcome.done
+                budget.finished(self.role, operation, outcome, Millis(now + 1))
+                if now >= self.outage[1]:
+                    self.returned.add(node)
+            heapq.heappush(queue, (now + max(wait, 1) + 0.01, node, is_read))
+
+    def peak(self, is_read: bool) -> int:
+        return max(
+            count for (kind, _), count in self.sent.items() if kind is is_read
+        )
+
+
+class FleetTest(unittest.TestCase):
+    """Guard against a fleet that overloads the platform at its return."""
+
+    def assert_below_the_rates(self, fleet: Fleet) -> None:
+        self.assertLessEqual(fleet.peak(is_read=False), WRITES_LIMIT)
+        self.assertLessEqual(fleet.peak(is_read=True), READS_LIMIT)
+
+    def test_long_outage(self) -> None:
+        fleet = Fleet(Role.rate_slot, 20_000, 140_000)
+        fleet.run(220_000)
+        self.assert_below_the_rates(fleet)
+        self.assertEqual(len(fleet.returned), NODES)
+
+    def test_short_outage(self) -> None:
+        fleet = Fleet(Role.rate_slot, 20_000, 25_000)
+        fleet.run(60_000)
+        self.assert_below_the_rates(fleet)
+
+    def test_start_of_the_whole_fleet_during_an_outage(self) -> None:
+        fleet = Fleet(Role.seed, 0, 15_000)
+        fleet.run(80_000)
+        self.assert_below_the_rates(fleet)
+
+
+class BudgetTest(unittest.TestCase):
+    """Guard against blocked roles and wrong counts."""
+
+    def test_breaker_opens_probes_once_and_closes(self) -> None:
+        budget = StoreBudget(1)
+        now = Millis(0)
+        for _ in range(3):
+            self.assertEqual(budget.admit(Role.claim, WRITE, now), 0)
+            budget.finished(Role.claim, WRITE, Outcome.unknown, now)
+        self.assertEqual(budget.state(Role.claim), BreakerState.open)
+        wait = budget.admit(Role.claim, WRITE, now)
+        self.assertGreater(wait, 0)
+        self.assertEqual(budget.admit(Role.operator, WRITE, now), 0)
+        now = Millis(now + wait)
+        self.assertEqual(budget.admit(Role.claim, WRITE, now), 0)
+        self.assertGreater(budget.admit(Role.claim, READ, now), 0)
+        budget.finished(Role.claim, WRITE, Outcome.conflict, now)
+        self.assertEqual(budget.state(Role.claim), BreakerState.closed)
+        self.assertEqual(budget.admit(Role.claim, READ, now), 0)
+
+    def test_rate_and_burst_bound_the_calls(self) -> None:
+        budget = StoreBudget(1)
+        admitted = sum(
+            budget.admit(Role.claim, WRITE, Millis(now)) == 0
+            for now in range(10_000)
+        )
+        self.assertIn(admitted, range(120, 6 + 120 + 1))
+
+    def test_burst_is_empty_when_the_breaker_closes(self) -> None:
+        budget = StoreBudget(1)
+        now = Millis(60_000)
+        budget.admit(Role.rate_slot, READ, Millis(0))
+        budget.admit(Role.rate_slot, READ, now)
+        budget.finished(Role.rate_slot, READ, Outcome.not_done, now)
+        now = Millis(now + 60_000)
+        self.assertEqual(budget.admit(Role.rate_slot, READ, now), 0)
+        budget.finished(Role.rate_slot, READ, Outcome.done, now)
+        self.assertGreater(budget.admit(Role.rate_slot, WRITE, now), 5000)
+
+    def test_waits_grow_up_to_the_longest(self) -> None:
+        budget = StoreBudget(1)
+        now = Millis(0)
+        waits = []
+        for _ in range(40):
+            wait = budget.admit(Role.claim, READ, now)
+            waits.append(wait)
+            now = Millis(now + wait)
+            if not wait:
+                budget.finished(Role.claim, READ, Outcome.not_done, now)
+        self.assertLessEqual(max(waits), 2000)
+        self.assertGreaterEqual(min(waits[-1], waits[-2]) + max(waits), 1000)
+        self.assertGreater(len({round(wait) for wait in waits}), 10)
+
+    def test_watch_as_a_probe_blocks_only_for_a_while(self) -> None:
+        budget = StoreBudget(1)
+        now = Millis(0)
+        role = Role.configuration
+        for _ in range(3):
+            budget.admit(role, READ, now)
+            budget.finished(role, READ, Outcome.not_done, now)
+        now = Millis(now + budget.admit(role, READ, now))
+        self.assertEqual(budget.admit(role, Watch('table', 1), now), 0)
+        self.assertEqual(budget.admit(role, READ, Millis(now + 2000)), 0)
+
+    def test_store_is_not_called_without_budget(self) -> None:
+        clock = ManualClock()
+        store = FakeStore(clock)
+        budget = StoreBudget(1)
+        budgeted = BudgetedStore(store, budget, clock)
+        store.faults.down = True
+        for _ in range(10):
+            answer = budgeted.run(WRITE, Role.claim)
+            self.assertEqual(answer.outcome, Outcome.not_done)
+        self.assertEqual(store.calls.total(), 3)
+        clock.advance(1000)
+        store.faults.down = False
+        answer = budgeted.run(READ, Role.claim)
+        self.assertEqual(answer.outcome, Outcome.done)
+        self.assertEqual(
+            budget.counts,
+            {
+                ('claim', 'CompareAndSwap', 'not_done'): 3,
+                ('claim', 'CompareAndSwap', 'refused'): 7,
+                ('claim', 'Get', 'done'): 1,
+            },
+        )
