--- a/bench/claims.py
+++ b/bench/claims.py
@@ -11,9 +11,11 @@
 import statistics
 import time
 import tracemalloc
+from typing import Any
 
 from tests.fakes.claims import ClaimFleet
 
+from jasmineramp import idempotency
 from jasmineramp.claim_ledger import ClaimLedger
 from jasmineramp.claim_log import (
     LogRecord,
@@ -27,6 +29,7 @@
     ClaimRequest,
     ClaimVerdict,
 )
+from jasmineramp.claim_settings import ClaimSettings
 from jasmineramp.claim_table import Claim
 from jasmineramp.clock import Millis
 from jasmineramp.ids import (
@@ -41,10 +44,14 @@
 WARM_UP_MS = 4000.0
 TAIL_MS = 2000.0
 PARTITION = PartitionId(0)
+SETTINGS = ClaimSettings(NodeId('n0'), 1, DOMAINS[0], DOMAINS)
 
 
-def report(name: str, **figures: float) -> None:
-    rounded = {key: round(value, 3) for key, value in figures.items()}
+def report(name: str, **figures: Any) -> None:
+    rounded = {
+        key: round(value, 3) if isinstance(value, float) else value
+        for key, value in figures.items()
+    }
     print(json.dumps({'measure': name, **rounded}), flush=True)
 
 
@@ -126,7 +133,7 @@
 
 def measure_owner(batch: int, batches: int) -> None:
     """Measure the processor time of the owner per claim."""
-    ledger = ClaimLedger(PARTITION, 1)
+    ledger = ClaimLedger(PARTITION, SETTINGS)
     requests = [
         [make_request(number * batch + index) for index in range(batch)]
         for number in range(batches)
@@ -147,7 +154,7 @@
 
 def measure_memory(claims: int, period: int) -> None:
     """Measure the memory per ended claim, and the look-up of one."""
-    ledger = ClaimLedger(PARTITION, 1)
+    ledger = ClaimLedger(PARTITION, SETTINGS)
     table = ledger.table
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
@@ -182,16 +189,64 @@
     )
 
 
+def measure_takeover(records: int, seed: int) -> None:
+    """Crash the owner of a log and wait for the next one to serve."""
+    fleet = ClaimFleet(nodes=3, seed=seed, domains=DOMAINS)
+    fleet.advance(WARM_UP_MS)
+    for index in range(records):
+        fleet.call(NodeId('n2'), f'key{index}', duration=20)
+        fleet.advance(110, tick=55)
+    owner = fleet.owner()
+    before = fleet.store.calls['Get']
+    start = fleet.clock.now()
+    fleet.crash(owner)
+    spent = time.process_time()
+    while fleet.owner() is None:
+        fleet.advance(50)
+    spent = time.process_time() - spent
+    report(
+        'takeover',
+        records=fleet.nodes[fleet.owner()].state.owners[PARTITION].sequence,
+        simulated_ms=fleet.clock.now() - start,
+        reads=fleet.store.calls['Get'] - before,
+        processor_ms=spent * 1000,
+    )
+
+
+def measure_tick(seed: int) -> None:
+    """Measure the processor time of an idle tick, by kind of node."""
+    fleet = ClaimFleet(nodes=3, seed=seed, domains=tuple('abcdefghijklmn'))
+    fleet.advance(WARM_UP_MS)
+    now = fleet.clock.now()
+    for node, process in fleet.nodes.items():
+        count = 10_000
+        start = time.process_time()
+        for _ in range(count):
+            idempotency.tick(process.state, now)
+        spent = time.process_time() - start
+        owned = sum(owner.ready for owner in process.state.owners.values())
+        report('tick', node=node, owned=owned, microseconds=spent / count * 1e6)
+
+
 def main() -> None:
     """Run all measurements."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     seed = parser.parse_args().seed
-    for rate, seconds in ((1, 300), (20, 60), (200, 30), (2000, 5)):
+    for rate, seconds in (
+        (1, 300),
+        (20, 60),
+        (200, 30),
+        (2000, 5),
+        (20_000, 2),
+    ):
         measure_latency(rate, seconds, seed)
     for batch in (1, 20, 1000):
         measure_owner(batch, 20_000 // batch)
     measure_memory(120_000, 5000)
+    for records in (10, 1000, 2500):
+        measure_takeover(records, seed)
+    measure_tick(seed)
 
 
 if __name__ == '__main__':
--- a/src/jasmineramp/claim_ledger.py
+++ b/src/jasmineramp/claim_ledger.py
@@ -9,22 +9,22 @@
     ClaimVerdict,
     OutcomeAnswer,
 )
+from jasmineramp.claim_settings import ClaimSettings
 from jasmineramp.claim_table import Claim, ClaimTable
 from jasmineramp.clock import Millis, later
 from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
 from jasmineramp.ids import NodeId, PartitionId
 
 OPEN_LIMIT = 10_000
-# About 12 MB at 14 bytes per ended claim.
-CLAIM_LIMIT = 800_000
 
 
 class ClaimLedger:
     """Hold the claims in memory and those on their way to the log."""
 
-    def __init__(self, partition: PartitionId, partitions: int) -> None:
+    def __init__(self, partition: PartitionId, settings: ClaimSettings) -> None:
         self.partition = partition
-        self.partitions = partitions
+        self.partitions = len(settings.domains)
+        self.claim_limit = settings.claim_limit
         self.table = ClaimTable()
         self.batch = ClaimBatch()
 
@@ -134,5 +134,6 @@
 
     def _is_full(self) -> bool:
         return (
-            len(self.table.open) >= OPEN_LIMIT or len(self.table) >= CLAIM_LIMIT
+            len(self.table.open) >= OPEN_LIMIT
+            or len(self.table) >= self.claim_limit
         )
--- a/src/jasmineramp/claim_owner.py
+++ b/src/jasmineramp/claim_owner.py
@@ -392,7 +392,7 @@
         return RecordEvent(EventKind.claim_changed, fields)
 
     def _new_ledger(self) -> ClaimLedger:
-        return ClaimLedger(self.partition, len(self.settings.domains))
+        return ClaimLedger(self.partition, self.settings)
 
     def _is_period_over(self, now: Millis) -> bool:
         return (
--- a/src/jasmineramp/claim_settings.py
+++ b/src/jasmineramp/claim_settings.py
@@ -29,13 +29,16 @@
 class ClaimSettings(msgspec.Struct, frozen=True):
     """Describe the node and the partitions, one per failure domain.
 
-    The domains and their order must be the same on all nodes.
+    The domains and their order must be the same on all nodes. The claim limit
+    bounds the memory of each partition that the node owns, 14 bytes per ended
+    claim; claims are kept for 24 h, so it also bounds their average rate.
     """
 
     node: NodeId
     incarnation: int
     domain: DomainId
     domains: tuple[DomainId, ...]
+    claim_limit: int = 800_000
 
 
 class Phase(enum.Enum):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -13,6 +13,12 @@
 from jasmineramp.claim_log import log_key
 from jasmineramp.claim_messages import ClaimEnd, ClaimVerdict
 from jasmineramp.claim_settings import HAND_BACK_MS
+from jasmineramp.claim_table import (
+    RESPONSE_LIMIT_BYTES,
+    RESPONSES_LIMIT_BYTES,
+    Claim,
+    ClaimTable,
+)
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId, PartitionId
 from jasmineramp.refusals import RefusalCode
@@ -242,6 +248,33 @@
         self.assert_verdict(ClaimVerdict.granted, key='k2')
 
 
+class MemoryTest(ClaimCase):
+    """Guard against an owner whose memory grows without bound."""
+
+    def test_full_owner_refuses_new_claims_only(self) -> None:
+        owner = self.fleet.nodes[self.fleet.owner()].state.owners[0]
+        owner.ledger.claim_limit = 2
+        self.assert_verdict(ClaimVerdict.granted, key='k1')
+        self.assert_verdict(ClaimVerdict.granted, key='k2')
+        self.assert_verdict(ClaimVerdict.unavailable, key='k3')
+        self.fleet.advance(1000)
+        self.assert_verdict(ClaimVerdict.ran, key='k1')
+
+    def test_responses_are_bounded(self) -> None:
+        table = ClaimTable()
+        for token in range(300):
+            claim = Claim(token, 0, token, 1, Millis(0), NodeId('n1'))
+            table.add(claim)
+            size = RESPONSE_LIMIT_BYTES + (token == 299)
+            table.end(token, ClaimEnd.done, 200, bytes(size))
+        self.assertEqual(
+            len(table.responses),
+            RESPONSES_LIMIT_BYTES // RESPONSE_LIMIT_BYTES,
+        )
+        self.assertIn(298, table.responses)
+        self.assertNotIn(299, table.responses)
+
+
 class FencingTest(ClaimCase):
     """Guard against two owners that both grant a claim."""
 
@@ -308,7 +341,7 @@
                 st.integers(0, 2**64 - 1),
                 st.integers(0, 2**32 - 1),
                 st.integers(0, 599),
-                st.sampled_from([0, 1, HOUR_MS / 2, 25 * HOUR_MS]),
+                st.sampled_from([0, HOUR_MS / 2, 13 * HOUR_MS, 25 * HOUR_MS]),
             ),
             max_size=30,
         )
