--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -164,12 +164,18 @@
         revision, accepted = state.revision, state.accepted
         effects = function(state, *arguments, self.members[node], self.now)
         if state.revision != revision:
-            self.in_force[state.revision].append(self.now)
+            self.note(self.in_force, revision, state.revision)
         if state.accepted != accepted:
-            self.accepted[state.accepted].append(self.now)
+            self.note(self.accepted, accepted, state.accepted)
         for effect in effects:
             self.perform(node, effect)
 
+    def note(self, moments: dict[int, list[float]], old: int, new: int) -> None:
+        """Note the time for every edit that the new revision includes."""
+        for revision in self.edited:
+            if old < revision <= new:
+                moments[revision].append(self.now)
+
     def perform(self, node: NodeId, effect: Effect) -> None:
         if isinstance(effect, SendMessage):
             self.send(node, effect.node, effect.message)
@@ -274,7 +280,7 @@
     for index in range(edits):
         edit(index + 2)
         simulation.run(simulation.random.uniform(3_000, 6_000))
-    simulation.run(SETTLE_MS)
+    simulation.run(SETTLE_MS * (5 if loss else 1))
     duration = simulation.now - start
     extra_messages = simulation.messages.total() - messages
     extra_bytes = simulation.bytes.total() - size_before
--- a/src/jasmineramp/configuration.py
+++ b/src/jasmineramp/configuration.py
@@ -43,6 +43,7 @@
 from jasmineramp.table_files import decode_table, encode_table
 
 OFFER_INTERVAL_MS = 1_000
+RANDOM_OFFERS = 2
 REQUEST_TIMEOUT_MS = 250
 # Saves a copy between failure domains when the own one has it as well.
 FAR_PATIENCE_MS = 100
@@ -265,7 +266,12 @@
     now: Millis,
 ) -> list[Effect]:
     offer = make_offer(state, now)
-    return [SendMessage(node, offer) for node in neighbours(state, members)]
+    receivers = set(neighbours(state, members))
+    # Random offers reach the subtree behind a lost message.
+    for _ in range(RANDOM_OFFERS):
+        receivers.add(state.random.choice(members.alive))
+    receivers.discard(state.node)
+    return [SendMessage(node, offer) for node in sorted(receivers)]
 
 
 def _offer_periodically(
