--- a/src/jasmineramp/configuration.py
+++ b/src/jasmineramp/configuration.py
@@ -66,6 +66,7 @@
         table = decode_table(body)
     except TableError as error:
         state.rejected.add(revision)
+        state.newest_offered = state.revision
         fields = {'revision': revision, 'error': str(error)}
         return [RecordEvent(EventKind.configuration_rejected, fields)]
     keep_rates(state, revision, table)
@@ -159,6 +160,7 @@
     effects: list[Effect] = []
     if lacks(state, message.revision, message.accepted):
         state.offerers[sender] = message.revision
+        state.newest_offered = max(state.newest_offered, message.revision)
         if sender not in members.alive:
             # A member is likely to offer the same within milliseconds.
             if state.requested_until is None:
@@ -279,7 +281,9 @@
     members: Members,
     now: Millis,
 ) -> list[Effect]:
-    state.next_offer = due(state, now, OFFER_INTERVAL_MS)
+    is_behind = state.newest_offered > state.revision
+    interval = REQUEST_TIMEOUT_MS if is_behind else OFFER_INTERVAL_MS
+    state.next_offer = due(state, now, interval)
     state.asked_at = now
     receivers: set[NodeId] = set()
     if is_watcher(state, members):
--- a/src/jasmineramp/configuration_state.py
+++ b/src/jasmineramp/configuration_state.py
@@ -73,6 +73,7 @@
         self.rejected: set[Revision] = set()
         self.last_contact: Millis | None = None
         self.offerers: dict[NodeId, Revision] = {}
+        self.newest_offered = NO_REVISION
         self.has_request = False
         self.requested_until: Millis | None = None
         self.asked_at: Millis | None = None
