Repeat acknowledgements after 250 ms, then ever more rarely

A lost acknowledgement was repeated after a second, each second while the revision was pending, also for hours in which a failure domain is cut off. The interval now doubles from 250 ms to 5 s and starts anew per revision.

--- a/src/jasmineramp/configuration.py
+++ b/src/jasmineramp/configuration.py
@@ -17,8 +17,12 @@
     DomainAcknowledgement,
     Offer,
 )
+from jasmineramp.configuration_offers import (
+    REQUEST_TIMEOUT_MS,
+    offer_periodically,
+    offer_to_neighbours,
+)
 from jasmineramp.configuration_state import (
-    WATCHERS,
     ConfigurationState,
     Members,
     accepted_rates,
@@ -28,7 +32,6 @@
     keep_rates,
     lacks,
     make_offer,
-    neighbours,
     note_contact,
     pack_body,
     spend_copy,
@@ -42,12 +45,10 @@
 from jasmineramp.store_messages import Role, StoreAnswered
 from jasmineramp.table_files import decode_table, encode_table
 
-OFFER_INTERVAL_MS = 1_000
-RANDOM_OFFERS = 2
-REQUEST_TIMEOUT_MS = 250
 # Saves a copy between failure domains when the own one has it as well.
 FAR_PATIENCE_MS = 100
-ACKNOWLEDGE_INTERVAL_MS = 1_000
+# Repeats of acknowledgements and reports double up to the longest.
+FIRST_REPEAT_MS = 250
 # A collector that restarted under its id has lost the acknowledgements.
 ACKNOWLEDGE_AGAIN_MS = 5_000
 
@@ -76,7 +77,7 @@
     state.packed = b''
     return [
         RecordEvent(EventKind.configuration_in_force, {'revision': revision}),
-        *_offer_to_neighbours(state, members, now),
+        *offer_to_neighbours(state, members, now),
         *_acknowledge(state, members, now),
     ]
 
@@ -96,7 +97,7 @@
     if state.offerers and state.requested_until is None:
         effects += _request_copy(state, members, now)
     if now >= state.next_offer:
-        effects += _offer_periodically(state, members, now)
+        effects += offer_periodically(state, members, now)
     if _needs_acknowledgement(state, members, now):
         effects += _acknowledge(state, members, now)
     if members.alive[0] == state.node:
@@ -262,43 +263,6 @@
     return [SendMessage(collector, message)]
 
 
-def _offer_to_neighbours(
-    state: ConfigurationState,
-    members: Members,
-    now: Millis,
-) -> list[Effect]:
-    offer = make_offer(state, now)
-    receivers = set(neighbours(state, members))
-    # Random offers reach the subtree behind a lost message.
-    for _ in range(RANDOM_OFFERS):
-        receivers.add(state.random.choice(members.alive))
-    receivers.discard(state.node)
-    return [SendMessage(node, offer) for node in sorted(receivers)]
-
-
-def _offer_periodically(
-    state: ConfigurationState,
-    members: Members,
-    now: Millis,
-) -> list[Effect]:
-    is_behind = state.newest_offered > state.revision
-    interval = REQUEST_TIMEOUT_MS if is_behind else OFFER_INTERVAL_MS
-    state.next_offer = due(state, now, interval)
-    state.asked_at = now
-    receivers: set[NodeId] = set()
-    if is_watcher(state, members):
-        receivers.update(members.contacts.values())
-        pool = members.alive
-    else:
-        # Half of the questions go to a watcher, whose contact is youngest.
-        watchers = members.alive[:WATCHERS]
-        pool = state.random.choice((watchers, members.alive))
-    receivers.add(state.random.choice(pool))
-    receivers.discard(state.node)
-    offer = make_offer(state, now, asks=True)
-    return [SendMessage(node, offer) for node in sorted(receivers)]
-
-
 def _request_copy(
     state: ConfigurationState,
     members: Members,
@@ -330,9 +294,12 @@
         return []
     state.accepted = accepted
     drop_rates(state)
+    if accepted == state.revision:
+        state.acknowledge_interval = ACKNOWLEDGE_AGAIN_MS
+        state.next_acknowledgement = due(state, now, ACKNOWLEDGE_AGAIN_MS)
     return [
         RecordEvent(EventKind.configuration_accepted, {'revision': accepted}),
-        *_offer_to_neighbours(state, members, now),
+        *offer_to_neighbours(state, members, now),
     ]
 
 
@@ -351,10 +318,15 @@
     now: Millis,
 ) -> list[Effect]:
     collector = members.alive[0]
-    pending = state.accepted < state.revision
-    interval = ACKNOWLEDGE_INTERVAL_MS if pending else ACKNOWLEDGE_AGAIN_MS
-    state.next_acknowledgement = due(state, now, interval)
-    state.acknowledged = (collector, state.revision)
+    current = (collector, state.revision)
+    if state.acknowledged != current:
+        state.acknowledge_interval = FIRST_REPEAT_MS
+    state.next_acknowledgement = due(state, now, state.acknowledge_interval)
+    state.acknowledge_interval = min(
+        ACKNOWLEDGE_AGAIN_MS,
+        state.acknowledge_interval * 2,
+    )
+    state.acknowledged = current
     revisions = tuple(state.rate_tables)
     if collector == state.node:
         acknowledgements.gather(
@@ -380,9 +352,13 @@
     )
     effects: list[Effect] = []
     if report != before or now >= state.next_report:
-        pending = state.accepted < state.revision
-        interval = ACKNOWLEDGE_INTERVAL_MS if pending else ACKNOWLEDGE_AGAIN_MS
-        state.next_report = due(state, now, interval)
+        if report != before:
+            state.report_interval = FIRST_REPEAT_MS
+        state.next_report = due(state, now, state.report_interval)
+        state.report_interval = min(
+            ACKNOWLEDGE_AGAIN_MS,
+            state.report_interval * 2,
+        )
         effects += [
             SendMessage(node, report)
             for _, node in sorted(members.contacts.items())
--- a/src/jasmineramp/configuration_state.py
+++ b/src/jasmineramp/configuration_state.py
@@ -80,7 +80,9 @@
         self.next_offer = START
         self.next_acknowledgement = START
         self.acknowledged: tuple[NodeId, Revision] | None = None
+        self.acknowledge_interval: float = 0
         self.next_report = START
+        self.report_interval: float = 0
         self.watch_sent: Millis | None = None
         self.next_watch = START
         self.watch_failures = 0
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -284,6 +284,50 @@
         ]
         self.assertEqual(receivers, ['b', 'c'])
 
+    def count(self, state, members, kind, duration: int) -> int:
+        """Count messages of a kind when every answer is lost."""
+        found = 0
+        for now in range(50, duration, 50):
+            effects = configuration.tick(state, members, Millis(now))
+            found += sum(
+                isinstance(effect, SendMessage)
+                and isinstance(effect.message, kind)
+                for effect in effects
+            )
+        return found
+
+    def test_a_node_that_knows_it_is_behind_asks_more_often(self) -> None:
+        members = make_members('c', ('a', 'b'), {})
+        state = ConfigurationState('c', 'd', 1)
+        configuration.receive(state, 'a', Offer(3, 0), members, Millis(0))
+        self.assertGreater(self.count(state, members, Offer, 2000), 5)
+
+    def test_lost_acknowledgements_are_repeated_soon_then_rarely(self) -> None:
+        members = make_members('c', ('a', 'b'), {})
+        state = ConfigurationState('c', 'd', 1)
+        configuration.adopt(state, 1, make_body(1), members, Millis(0))
+        quick = self.count(state, members, Acknowledgement, 1000)
+        self.assertGreaterEqual(quick, 2)
+        slow = self.count(state, members, Acknowledgement, 60_000)
+        self.assertLess(slow, 20)
+
+    def test_a_new_revision_is_offered_beyond_the_tree(self) -> None:
+        others = [f'n{index:03}' for index in range(100)]
+        members = make_members('n005', others, {})
+        state = ConfigurationState('n005', 'd', 1)
+        effects = configuration.adopt(
+            state, 1, make_body(1), members, Millis(0)
+        )
+        offered = {
+            effect.node
+            for effect in effects
+            if isinstance(effect, SendMessage)
+            and isinstance(effect.message, Offer)
+        }
+        tree = {'n001', 'n021', 'n022', 'n023', 'n024'}
+        self.assertLess(tree, offered)
+        self.assertLessEqual(len(offered), 7)
+
     def test_an_offer_from_another_failure_domain_can_wait(self) -> None:
         members = make_members('a', ('b',), {'e': 'far'})
         state = ConfigurationState('a', 'd', 1)
