--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -249,6 +249,30 @@
         self.assertLessEqual(fleet.store.writes[key], 12)
         self.assertLessEqual(fleet.store.writes['domains'], 1)
 
+    def test_records_survive_lost_writes_and_answers(self) -> None:
+        for requests, answers in ((1, 0), (0, 1)):
+            fleet = Fleet((2,))
+            fleet.edit(1)
+            fleet.settle(5000)
+            fleet.store.lost_requests = requests
+            fleet.store.lost_answers = answers
+            for rate in (2, 3):
+                revision = fleet.edit(rate)
+                fleet.settle(6000)
+                _, body = fleet.store.values[acknowledgement_key('d0')]
+                record = msgspec.json.decode(body, type=AcknowledgementRecord)
+                self.assertEqual(record.revision, revision)
+            self.assertEqual(fleet.store.writes[acknowledgement_key('d0')], 3)
+
+    def test_an_older_table_from_the_platform_changes_nothing(self) -> None:
+        fleet = Fleet((2,))
+        fleet.edit(1)
+        revision = fleet.edit(2)
+        fleet.settle(500)
+        fleet.store.values[TABLE_KEY] = (1, make_body(1))
+        fleet.settle(500)
+        self.assertEqual(fleet.revisions(), {revision})
+
     def test_a_hundred_requests_at_once_stay_within_the_byte_budget(
         self,
     ) -> None:
@@ -361,17 +385,17 @@
         self.assertEqual(state.revision, 3)
 
     def test_a_damaged_table_leaves_the_old_one_in_force(self) -> None:
-        fleet = Fleet((1,))
+        fleet = Fleet((2,))
         revision = fleet.edit(1)
         fleet.settle(500)
         state, members = fleet.states['d0-0'], fleet.members('d0-0')
         copy = Copy(9, zlib.compress(b'{"calls": 1}'), 9, b'')
-        effects = configuration.receive(state, 'x', copy, members, fleet.now)
+        effects = configuration.receive(state, 'd0-1', copy, members, fleet.now)
         self.assertIsInstance(effects[0], RecordEvent)
         self.assertEqual(state.revision, revision)
         self.assertEqual(state.accepted, revision)
         again = configuration.receive(
-            state, 'x', Offer(9, 0), members, fleet.now
+            state, 'd0-1', Offer(9, 0), members, fleet.now
         )
         self.assertFalse(any(isinstance(e, SendMessage) for e in again))
 
