--- a/src/jasmineramp/configuration_state.py
+++ b/src/jasmineramp/configuration_state.py
@@ -73,13 +73,16 @@
         self.rejected: set[Revision] = set()
         self.last_contact: Millis | None = None
         self.offerers: dict[NodeId, Revision] = {}
+        self.newest_offered = NO_REVISION
         self.has_request = False
         self.requested_until: Millis | None = None
         self.asked_at: Millis | None = None
         self.next_offer = START
         self.next_acknowledgement = START
         self.acknowledged: tuple[NodeId, Revision] | None = None
+        self.acknowledge_interval: float = 0
         self.next_report = START
+        self.report_interval: float = 0
         self.watch_sent: Millis | None = None
         self.next_watch = START
         self.watch_failures = 0
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -249,6 +249,30 @@
         self.assertLessEqual(fleet.store.writes[key], 12)
         self.assertLessEqual(fleet.store.writes['domains'], 1)
 
+    def test_records_survive_lost_writes_and_answers(self) -> None:
+        for requests, answers in ((1, 0), (0, 1)):
+            fleet = Fleet((2,))
+            fleet.edit(1)
+            fleet.settle(5000)
+            fleet.store.lost_requests = requests
+            fleet.store.lost_answers = answers
+            for rate in (2, 3):
+                revision = fleet.edit(rate)
+                fleet.settle(6000)
+                _, body = fleet.store.values[acknowledgement_key('d0')]
+                record = msgspec.json.decode(body, type=AcknowledgementRecord)
+                self.assertEqual(record.revision, revision)
+            self.assertEqual(fleet.store.writes[acknowledgement_key('d0')], 3)
+
+    def test_an_older_table_from_the_platform_changes_nothing(self) -> None:
+        fleet = Fleet((2,))
+        fleet.edit(1)
+        revision = fleet.edit(2)
+        fleet.settle(500)
+        fleet.store.values[TABLE_KEY] = (1, make_body(1))
+        fleet.settle(500)
+        self.assertEqual(fleet.revisions(), {revision})
+
     def test_a_hundred_requests_at_once_stay_within_the_byte_budget(
         self,
     ) -> None:
@@ -284,6 +308,50 @@
         ]
         self.assertEqual(receivers, ['b', 'c'])
 
+    def count(self, state, members, kind, duration: int) -> int:
+        """Count messages of a kind when every answer is lost."""
+        found = 0
+        for now in range(50, duration, 50):
+            effects = configuration.tick(state, members, Millis(now))
+            found += sum(
+                isinstance(effect, SendMessage)
+                and isinstance(effect.message, kind)
+                for effect in effects
+            )
+        return found
+
+    def test_a_node_that_knows_it_is_behind_asks_more_often(self) -> None:
+        members = make_members('c', ('a', 'b'), {})
+        state = ConfigurationState('c', 'd', 1)
+        configuration.receive(state, 'a', Offer(3, 0), members, Millis(0))
+        self.assertGreater(self.count(state, members, Offer, 2000), 5)
+
+    def test_lost_acknowledgements_are_repeated_soon_then_rarely(self) -> None:
+        members = make_members('c', ('a', 'b'), {})
+        state = ConfigurationState('c', 'd', 1)
+        configuration.adopt(state, 1, make_body(1), members, Millis(0))
+        quick = self.count(state, members, Acknowledgement, 1000)
+        self.assertGreaterEqual(quick, 2)
+        slow = self.count(state, members, Acknowledgement, 60_000)
+        self.assertLess(slow, 20)
+
+    def test_a_new_revision_is_offered_beyond_the_tree(self) -> None:
+        others = [f'n{index:03}' for index in range(100)]
+        members = make_members('n005', others, {})
+        state = ConfigurationState('n005', 'd', 1)
+        effects = configuration.adopt(
+            state, 1, make_body(1), members, Millis(0)
+        )
+        offered = {
+            effect.node
+            for effect in effects
+            if isinstance(effect, SendMessage)
+            and isinstance(effect.message, Offer)
+        }
+        tree = {'n001', 'n021', 'n022', 'n023', 'n024'}
+        self.assertLess(tree, offered)
+        self.assertLessEqual(len(offered), 7)
+
     def test_an_offer_from_another_failure_domain_can_wait(self) -> None:
         members = make_members('a', ('b',), {'e': 'far'})
         state = ConfigurationState('a', 'd', 1)
@@ -317,17 +385,17 @@
         self.assertEqual(state.revision, 3)
 
     def test_a_damaged_table_leaves_the_old_one_in_force(self) -> None:
-        fleet = Fleet((1,))
+        fleet = Fleet((2,))
         revision = fleet.edit(1)
         fleet.settle(500)
         state, members = fleet.states['d0-0'], fleet.members('d0-0')
         copy = Copy(9, zlib.compress(b'{"calls": 1}'), 9, b'')
-        effects = configuration.receive(state, 'x', copy, members, fleet.now)
+        effects = configuration.receive(state, 'd0-1', copy, members, fleet.now)
         self.assertIsInstance(effects[0], RecordEvent)
         self.assertEqual(state.revision, revision)
         self.assertEqual(state.accepted, revision)
         again = configuration.receive(
-            state, 'x', Offer(9, 0), members, fleet.now
+            state, 'd0-1', Offer(9, 0), members, fleet.now
         )
         self.assertFalse(any(isinstance(e, SendMessage) for e in again))
 
