Test shares of idle workspaces and of calls that differ in length

Cause: a run that removed one mechanism at a time found two that no test noticed: the virtual time of a workspace that becomes active, and the correction of a share by the real service time. The call trees now count every granted retry, so that a second answer to one question is noticed.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -228,6 +228,34 @@
         self.fill(state, make_call(20, 'c'))
         self.assertLess(self.start_order(state, 40).index('20'), 2)
 
+    def test_idle_time_gives_no_credit(self) -> None:
+        """Guard against a workspace that saves up service while idle."""
+        state = make_state(1)
+        self.fill(state, *(make_call(n) for n in range(20)))
+        for number in range(10):
+            now = Millis(10 * number + 10)
+            admission.finish(state, CallId(str(number)), OK, now)
+        self.fill(state, *(make_call(n, 'late') for n in range(30, 40)))
+        started = self.start_order(state, 100)[:10]
+        late = [call_id for call_id in started if int(call_id) >= 30]
+        self.assertIn(len(late), (5, 6))
+
+    def test_longer_calls_count_more(self) -> None:
+        """Guard against shares by estimates when services differ."""
+        state = make_state(1)
+        self.fill(state, make_call(0))
+        self.fill(state, *(make_call(n, 'slow') for n in range(100, 110)))
+        self.fill(state, *(make_call(n, 'fast') for n in range(200, 210)))
+        now = 0.0
+        order = []
+        while state.running:
+            call_id = next(iter(state.running))
+            now += 15 if call_id.startswith('1') else 5
+            decisions = admission.finish(state, call_id, OK, Millis(now))
+            order += [decision.call.call_id for decision in decisions]
+        slow = [call_id for call_id in order[:12] if call_id[0] == '1']
+        self.assertLessEqual(len(slow), 4)
+
     def test_full_queue_evicts_the_heaviest_workspace(self) -> None:
         """Guard against small workspaces crowded out by a large one."""
         state = make_state(1, queue_capacity=4)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -55,7 +55,9 @@
 
     def may_retry(self, node: RetryState, retry: Retry) -> bool:
         if node is self.entry:
-            return retries.spend(node, REQUEST, Millis(self.now))
+            granted = retries.spend(node, REQUEST, Millis(self.now))
+            self.retried += granted
+            return granted
         request = retries.ask(node, REQUEST, retry, Millis(self.now))
         fate = next(self.network)
         if fate == 'lost request':
@@ -76,8 +78,9 @@
         granted = [
             retries.accept_answer(node, message, Millis(self.now))
             for message in answers
-        ]
-        return granted.count(True) == 1
+        ].count(True)
+        self.retried += granted
+        return granted > 0
 
     def run(self, node: RetryState, depth: int) -> None:
         call_id = CallId(str(next(self.numbers)))
@@ -90,7 +93,6 @@
                 return
             if not self.may_retry(node, Retry(call_id, attempt)):
                 return
-            self.retried += 1
 
     def serve(self, depth: int, token: ContextToken) -> None:
         if depth == DEPTH:
@@ -103,7 +105,6 @@
                 retry = Retry(CallId(str(next(self.numbers))), 1)
                 if not self.may_retry(node, retry):
                     continue
-                self.retried += 1
             self.run(node, depth + 1)
         retries.forget_token(node, token)
         assert not node.onward
