Let the long-term latency rise only while the limit holds nothing back

Cause: under lasting contention the tolerated latency entered the long-term latency and would raise the limit step by step. Rise and fall now have the same time constant, so that lucky windows no longer bias it, and a new limiter learns from three windows.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -13,9 +13,8 @@
 WINDOW_SAMPLES = 40
 LEAST_SAMPLES = 5
 # Time constants with which the long-term latency follows the short-term one.
-LONG_TERM_RISE = 30_000
-LONG_TERM_FALL = 10_000
-FIRST_WINDOWS = 2
+LONG_TERM = 10_000
+FIRST_WINDOWS = 3
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
 TOLERANCE = 1.1
@@ -169,7 +168,7 @@
         else:
             self.descent = None
             limit = self.limit
-            if self.peak >= math.floor(limit) * BUSY_SHARE:
+            if self._is_busy():
                 limit += self._increase()
         limit -= self.limit * self.overloads / self.samples / 2
         if ratio > tolerance or self.overloads or limit >= self.ceiling:
@@ -182,10 +181,15 @@
         self.running_time = 0
         self.peak = self.running
 
+    def _is_busy(self) -> bool:
+        return self.peak >= math.floor(self.limit) * BUSY_SHARE
+
     def _increase(self) -> float:
         if self.starting:
             # Latency is learned before more calls run.
-            known = any(row.windows > 1 for row in self.rows.values())
+            known = any(
+                row.windows >= FIRST_WINDOWS for row in self.rows.values()
+            )
             return self.limit * START_GROWTH if known else 0
         return math.sqrt(self.limit) / 2
 
@@ -241,10 +245,13 @@
         return limit
 
     def _update_long_term(self, elapsed: float) -> None:
+        # While the limit holds calls back, latency that creeps up is that of
+        # the calls the limit lets through, and would raise the limit.
+        may_rise = self.limit >= self.ceiling or not self._is_busy()
         for row in self.rows.values():
             # A descent itself decides whether its latency is usual.
             if row.count and self.descent is None:
-                _follow(row, elapsed)
+                _follow(row, elapsed, may_rise=may_rise)
             row.total = 0
             row.count = 0
 
@@ -255,16 +262,19 @@
         self.limit = min(self.ceiling, max(self._floor(), limit))
 
 
-def _follow(row: _RowLatency, elapsed: float) -> None:
+def _follow(row: _RowLatency, elapsed: float, *, may_rise: bool) -> None:
     row.windows += 1
     gap = row.total / row.count - row.long_term
-    constant = LONG_TERM_RISE if gap > 0 else LONG_TERM_FALL
-    gain = min(1, elapsed / constant)
+    if gap < 0 or may_rise or row.windows <= FIRST_WINDOWS:
+        row.long_term += gap * _gain(row, elapsed)
+
+
+def _gain(row: _RowLatency, elapsed: float) -> float:
     # The calls that finish in the first window are the short ones, so the
-    # mean of the second window replaces it.
+    # mean of the later ones replaces it.
     if row.windows <= FIRST_WINDOWS:
-        gain = 1
-    row.long_term += gap * gain
+        return 1 / max(1, row.windows - 1)
+    return min(1, elapsed / LONG_TERM)
 
 
 class _Estimate(msgspec.Struct, gc=False):
