Learn latency from five windows and judge with a lower exponent

Cause: 40 samples of the first windows can be a quarter too low, and then a steady demand of 0.85 looks like contention. The latency at the start of a descent is that of a limit already falling, so contention could be taken for a slow back end.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -14,7 +14,7 @@
 LEAST_SAMPLES = 5
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM = 10_000
-FIRST_WINDOWS = 3
+FIRST_WINDOWS = 5
 # Tolerated ratio of short-term to long-term latency. The spread covers the
 # variation of a mean, which falls with the square root of the samples.
 TOLERANCE = 1.1
@@ -25,7 +25,7 @@
 DESCENT = 0.65
 # Latency that grows in proportion to the running calls (exponent 1) costs no
 # throughput, so that a lower limit would gain nothing.
-LATENCY_EXPONENT = 0.85
+LATENCY_EXPONENT = 0.65
 # A cold instance cannot use its announced slots yet, and latency measured
 # while it is overloaded would be taken for the usual one.
 START_SHARE = 0.2
