Tell borrowers when to ask again and let calls wait for own tokens

Owners of narrow buckets kept a token for themselves, and a denial stopped all waiting calls for a pause that doubled. Denials now say when a token may be there, and waiting calls ask again at that time.

--- a/bench/rate_shares.py
+++ b/bench/rate_shares.py
@@ -7,6 +7,7 @@
 import argparse
 import heapq
 import itertools
+import math
 import random
 import sys
 import time
@@ -30,6 +31,8 @@
 DELAY_MS = 1.0
 TICK_MS = 50
 WAIT_MS = 50
+# A wake-up must not come before its time by rounding.
+ROUNDING_MS = 0.001
 DAY_MS = 86_400_000
 DRIFT = 0.01
 ENCODER = msgspec.msgpack.Encoder()
@@ -80,6 +83,7 @@
         self.limits = limits
         self.windows = {name: Window(*limit) for name, limit in limits.items()}
         self.calls = []
+        self.wakes = {}
         self.messages = self.bytes = 0
         self.received = defaultdict(int)
         self.processor = 0.0
@@ -132,6 +136,26 @@
             action(*arguments)
         self.now = until
 
+    def send_pending(self, node, now):
+        """Send what is due and come back at the time the state asks for."""
+        state = self.states[node]
+        self.send(node, rates.pending_messages(state, now))
+        if state.wake_at < self.wakes.get(node, math.inf):
+            self.wakes[node] = state.wake_at
+            self.at(
+                max(self.now, state.wake_at / self.speed[node]) + ROUNDING_MS,
+                self.wake,
+                node,
+            )
+
+    def wake(self, node):
+        start = time.process_time()
+        self.wakes.pop(node, None)
+        now = self.clock(node)
+        self.retry(node, now)
+        self.send_pending(node, now)
+        self.processor += time.process_time() - start
+
     def clock(self, node):
         return Millis(self.now * self.speed[node])
 
@@ -179,9 +203,9 @@
         effects = []
         if answer is not None:
             effects.append(rates.SendMessage(sender, answer))
-        self.retry(node, now)
-        effects += rates.pending_messages(state, now)
         self.send(node, effects)
+        self.retry(node, now)
+        self.send_pending(node, now)
         self.processor += time.process_time() - start
 
     def tick(self, node):
@@ -190,9 +214,9 @@
         effects = rates.tick(self.states[node], now)
         if node in self.exchanges:
             effects += exchange.tick(self.exchanges[node], now)
-        self.retry(node, now)
-        effects += rates.pending_messages(self.states[node], now)
         self.send(node, effects)
+        self.retry(node, now)
+        self.send_pending(node, now)
         self.processor += time.process_time() - start
         self.at(self.now + TICK_MS, self.tick, node)
 
@@ -204,9 +228,7 @@
     def arrive(self, node, name, ideal):
         start = time.process_time()
         self.call(node, name, self.now, ideal, parked=False)
-        self.send(
-            node, rates.pending_messages(self.states[node], self.clock(node))
-        )
+        self.send_pending(node, self.clock(node))
         self.processor += time.process_time() - start
 
     def call(self, node, name, arrived, ideal, *, parked):
--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -5,8 +5,8 @@
 from jasmineramp.clock import Millis
 from jasmineramp.effects import SendMessage
 from jasmineramp.ids import BucketId, NodeId
-from jasmineramp.rate_buckets import TERM_MS, Bucket, Slice, is_narrow
-from jasmineramp.rate_demand import Borrower
+from jasmineramp.rate_buckets import NEVER, TERM_MS, Bucket, Slice, is_narrow
+from jasmineramp.rate_demand import WAIT_MS, Borrower
 from jasmineramp.rate_messages import (
     Demand,
     DemandReport,
@@ -60,7 +60,8 @@
                 changed.add(want.bucket)
     for want in wants.values():
         close_want(state, want, request)
-        if _deny_one(state, want, now):
+        if want.tokens and want.bucket in state.borrowers:
+            state.borrowers[want.bucket].deny(sender, loan.retry, now)
             changed.add(want.bucket)
     for renewed in request.renewals.intersection(loan.renewed):
         bucket = state.index.get(renewed)
@@ -97,19 +98,11 @@
     )
     bucket.borrow(piece, grant.tokens)
     if want.tokens:
-        state.borrowers[want.bucket].grant()
+        state.borrowers[want.bucket].grant(request.lender)
         bucket.token_loans.append(piece.loan)
     return True
 
 
-def _deny_one(state: RateState, want: Want, now: Millis) -> bool:
-    borrower = state.borrowers.get(want.bucket)
-    if borrower is None or not want.tokens:
-        return False
-    borrower.deny(now)
-    return True
-
-
 def close_want(state: RateState, want: Want, request: OpenRequest) -> None:
     """Stop counting a want as under way."""
     borrower = state.borrowers.get(want.bucket)
@@ -191,15 +184,18 @@
 
 def _ask_tokens(state: RateState, name: BucketId, now: Millis) -> None:
     borrower = state.borrowers.get(name)
-    if borrower is None or now < borrower.exhausted_until:
+    if borrower is None:
         return
     missing = min(borrower.parked, MOST_TOKENS) - borrower.asked_tokens
     if missing <= 0:
         return
     bucket = state.buckets[name]
-    lender = borrower.next_lender()
+    lender = borrower.next_lender(now)
     if lender is None:
-        _ask_exchange(state, bucket, borrower, now, HINT_INTERVAL_MS)
+        if not borrower.order:
+            _ask_exchange(state, bucket, borrower, now, HINT_INTERVAL_MS)
+        if now < borrower.next_ask <= now + WAIT_MS:
+            state.wake(name, borrower.next_ask)
     else:
         _want(
             state,
@@ -260,11 +256,15 @@
 def pending_messages(state: RateState, now: Millis) -> list[SendMessage]:
     """Return the messages to send; call after every event.
 
+    Call it also at state.wake_at, after another try of the parked calls.
     Messages to the own node are delivered as if received.
     """
-    if not state.has_output:
+    if now >= state.wake_at:
+        state.asking |= state.waking
+        state.waking.clear()
+        state.wake_at = NEVER
+    elif not state.has_output:
         return []
-    state.has_output = False
     for name in state.asking:
         _ask_tokens(state, name, now)
     state.asking.clear()
--- a/src/jasmineramp/rate_buckets.py
+++ b/src/jasmineramp/rate_buckets.py
@@ -75,7 +75,8 @@
 
 def is_narrow(table: RateTable, bucket: BucketId) -> bool:
     """Return whether only some rate slots own a part of a bucket."""
-    return table.limits[bucket].burst < SMALLEST_BURST * table.slots
+    limit = table.limits.get(bucket)
+    return limit is not None and limit.burst < SMALLEST_BURST * table.slots
 
 
 def owner_slots(table: RateTable, bucket: BucketId) -> range | frozenset[int]:
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -15,7 +15,7 @@
 LEAST_DEMAND = 0.02
 WAIT_MS = 50
 HINT_INTERVAL_MS = 20
-FIRST_PAUSE_MS = 10.0
+FIRST_PAUSE_MS = 5.0
 LONGEST_PAUSE_MS = 500.0
 DENIALS_PER_ROUND = 4
 LENDERS_KEPT = 128
@@ -28,14 +28,15 @@
         'asked_rate',
         'asked_tokens',
         'denials',
-        'exhausted_until',
         'fast',
         'hint_at',
         'lenders',
+        'next_ask',
         'order',
         'parked',
         'parked_at',
         'pause',
+        'ready',
         'slow',
         'used',
     )
@@ -46,7 +47,8 @@
         self.used: float = 0
         self.parked = 0
         self.parked_at = Millis(-math.inf)
-        self.exhausted_until = Millis(-math.inf)
+        self.next_ask = Millis(-math.inf)
+        self.ready: dict[NodeId, Millis] = {}
         self.pause = FIRST_PAUSE_MS
         self.denials = 0
         self.hint_at = Millis(-math.inf)
@@ -88,19 +90,26 @@
                     self.order.appendleft(lender.node)
                 self.lenders[lender.node] = lender.rate
         while len(self.order) > LENDERS_KEPT:
-            self.lenders.pop(self.order.pop())
+            dropped = self.order.pop()
+            self.lenders.pop(dropped)
+            self.ready.pop(dropped, None)
 
     def drop_lender(self, node: NodeId) -> None:
         """Forget a lender that does not answer."""
         if self.lenders.pop(node, None) is not None:
             self.order.remove(node)
+            self.ready.pop(node, None)
 
-    def next_lender(self) -> NodeId | None:
-        """Return the lender to ask for tokens and move it to the end."""
-        if not self.order:
+    def next_lender(self, now: Millis) -> NodeId | None:
+        """Return a lender that may have tokens and move it to the end."""
+        if now < self.next_ask:
             return None
-        self.order.rotate(-1)
-        return self.order[-1]
+        for node in self.order:
+            if self.ready.get(node, now) <= now:
+                self.order.remove(node)
+                self.order.append(node)
+                return node
+        return None
 
     def wants_hints(self, now: Millis, interval: float) -> bool:
         """Return whether the exchange may be asked, at most this often."""
@@ -109,17 +118,27 @@
         self.hint_at = Millis(now + interval)
         return True
 
-    def deny(self, now: Millis) -> None:
-        """Pause after a round of denials, longer each time."""
+    def deny(self, lender: NodeId, retry: float, now: Millis) -> None:
+        """Spare a lender until it may have tokens (milliseconds).
+
+        Each round of denials makes the pause before the next one longer,
+        so that an exhausted bucket causes few requests.
+        """
         self.denials += 1
+        if lender in self.lenders:
+            wait = min(max(retry, self.pause), LONGEST_PAUSE_MS)
+            self.ready[lender] = Millis(now + wait)
         if self.denials >= min(DENIALS_PER_ROUND, len(self.order)):
             self.denials = 0
-            self.parked = 0
-            self.exhausted_until = Millis(now + self.pause)
+            self.next_ask = Millis(now + self.pause)
             self.pause = min(self.pause * 2, LONGEST_PAUSE_MS)
+        if self.order and len(self.ready) == len(self.order):
+            soonest = min(self.ready.values())
+            self.next_ask = Millis(max(self.next_ask, soonest))
 
-    def grant(self) -> None:
+    def grant(self, lender: NodeId) -> None:
         """End the pause: some lender has tokens."""
         self.denials = 0
         self.pause = FIRST_PAUSE_MS
-        self.exhausted_until = Millis(-math.inf)
+        self.next_ask = Millis(-math.inf)
+        self.ready.pop(lender, None)
--- a/src/jasmineramp/rate_lending.py
+++ b/src/jasmineramp/rate_lending.py
@@ -9,6 +9,7 @@
     Bucket,
     LentKey,
     Slice,
+    is_narrow,
 )
 from jasmineramp.rate_messages import (
     Grant,
@@ -20,6 +21,8 @@
 from jasmineramp.rate_state import RateState
 
 SMALLEST_FRACTION = 0.02
+RETURN_MS = 5.0
+LONGEST_RETRY_MS = 500.0
 
 
 def lend(
@@ -33,6 +36,7 @@
     Otherwise the term could end here before it ends at the borrower.
     """
     grants = []
+    retry: float = 0
     # A token loan served first could leave no burst to go with the rate.
     for want in sorted(request.wants, key=lambda one: -one.rate):
         bucket = state.buckets.get(want.bucket)
@@ -41,16 +45,43 @@
             grant = _lend_one(state, bucket, key, want, now)
             if grant is not None:
                 grants.append(grant)
+            elif want.tokens:
+                retry = max(retry, _next_token(state, bucket))
     renewed = tuple(
         loan
         for loan in request.renewals
         if _renew_one(state, (sender, request.session, loan), now)
     )
     return Loan(
-        request.session, request.number, tuple(grants), renewed, TERM_MS
+        request.session,
+        request.number,
+        tuple(grants),
+        renewed,
+        TERM_MS,
+        retry,
     )
 
 
+def _next_token(state: RateState, bucket: Bucket) -> float:
+    if bucket.free.burst < WHOLE_TOKEN:
+        # Token loans come back as soon as they are used.
+        return RETURN_MS if bucket.lent else LONGEST_RETRY_MS
+    missing = 1 + _reserve(state, bucket) - bucket.tokens
+    if bucket.rate <= 0:
+        return LONGEST_RETRY_MS
+    return round(min(missing / bucket.rate, LONGEST_RETRY_MS), 1)
+
+
+def _reserve(state: RateState, bucket: Bucket) -> int:
+    """Return the tokens to keep for own calls.
+
+    The owners of a narrow bucket keep none: they hold the tokens of all.
+    """
+    if is_narrow(state.tables[-1], bucket.identity):
+        return 0
+    return 1 if state.borrowers[bucket.identity].need else 0
+
+
 def _lend_one(
     state: RateState,
     bucket: Bucket,
@@ -72,7 +103,7 @@
         if want.rate > 0:
             _offer_rate(bucket, piece, want, need)
         else:
-            _offer_tokens(bucket, piece, want, need)
+            _offer_tokens(bucket, piece, want, _reserve(state, bucket))
         if piece.burst <= 0:
             return None
         bucket.lend(key, piece, piece.tokens)
@@ -80,9 +111,8 @@
 
 
 def _offer_tokens(
-    bucket: Bucket, piece: Slice, want: Want, need: float
+    bucket: Bucket, piece: Slice, want: Want, reserve: int
 ) -> None:
-    reserve = 1 if need else 0
     spare = min(bucket.tokens - reserve, bucket.free.burst)
     tokens = min(want.tokens, int(spare + 1 - WHOLE_TOKEN))
     if tokens >= 1:
--- a/src/jasmineramp/rate_messages.py
+++ b/src/jasmineramp/rate_messages.py
@@ -83,7 +83,8 @@
     """Answer a loan request; wants without a grant are denied.
 
     The term (milliseconds) of the renewed loans starts at the time of the
-    request, as that of the grants does.
+    request, as that of the grants does. Denied tokens may be there after
+    retry (milliseconds).
     """
 
     session: int
@@ -91,6 +92,7 @@
     grants: tuple[Grant, ...] = ()
     renewed: tuple[int, ...] = ()
     term: float = 0
+    retry: float = 0
 
 
 class ReturnedLoan(msgspec.Struct, frozen=True, array_like=True):
--- a/src/jasmineramp/rate_state.py
+++ b/src/jasmineramp/rate_state.py
@@ -68,10 +68,17 @@
         self.renewals: dict[NodeId, list[int]] = defaultdict(list)
         self.returns: dict[NodeId, list[ReturnedLoan]] = defaultdict(list)
         self.has_output = False
+        self.wake_at = NEVER
+        self.waking: set[BucketId] = set()
         self.measured_at = now
         self.report_at = now
         self.rates_at = now
 
+    def wake(self, name: BucketId, at: Millis) -> None:
+        """Ask to be called for a bucket at a time, before the next tick."""
+        self.waking.add(name)
+        self.wake_at = min(self.wake_at, at)
+
 
 def set_exchange(state: RateState, exchange: NodeId | None) -> None:
     """Name the node to send demand to; it may be the node itself."""
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -164,14 +164,18 @@
     parked: bool,
 ) -> TakeResult:
     borrower = state.borrowers[bucket.identity]
-    if now < borrower.exhausted_until or state.exchange is None:
+    # Calls that wait already get the tokens that come first.
+    ahead = 1 + borrower.parked - bucket.tokens
+    wait = ahead / bucket.rate if bucket.rate else NEVER
+    if wait <= WAIT_MS:
+        state.wake(bucket.identity, Millis(now + wait))
+    elif state.exchange is None or now + WAIT_MS < borrower.next_ask:
         limit = state.tables[-1].limits.get(bucket.identity)
-        missing = 1 - bucket.tokens
         return RateExceeded(
             bucket.identity,
             bucket.held,
             limit.per_second if limit else 0,
-            min(missing / bucket.rate if bucket.rate else NEVER, TERM_MS),
+            min(wait, TERM_MS),
         )
     if not parked:
         borrower.park(now)
