--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -8,8 +8,9 @@
 from jasmineramp.ids import NodeId
 from jasmineramp.rate_messages import Lender
 
-FAST_MS = 300
-SLOW_MS = 2000
+# A longer memory keeps lenders from lending for seconds after a shift.
+MEMORY_MS = 300
+MILLIS_PER_SECOND = 1000
 HEADROOM = 1.15
 # A demand below this many calls a second counts as none.
 LEAST_DEMAND = 0.02
@@ -25,10 +26,10 @@
     """Follow demand and lenders of one bucket at one node."""
 
     __slots__ = (
+        'arriving',
         'asked_rate',
         'asked_tokens',
         'denials',
-        'fast',
         'hint_at',
         'lenders',
         'next_ask',
@@ -37,13 +38,11 @@
         'parked_at',
         'pause',
         'ready',
-        'slow',
         'used',
     )
 
     def __init__(self) -> None:
-        self.fast: float = 0
-        self.slow: float = 0
+        self.arriving: float = 0
         self.used: float = 0
         self.parked = 0
         self.parked_at = Millis(-math.inf)
@@ -60,17 +59,14 @@
     @property
     def need(self) -> float:
         """Return the calls a second that should be held."""
-        demand = max(self.fast, self.slow)
-        return demand * HEADROOM if demand > LEAST_DEMAND else 0
+        return self.arriving * HEADROOM if self.arriving > LEAST_DEMAND else 0
 
     def measure(self, arrivals: int, admitted: int, elapsed: float) -> None:
         """Take in the calls of an interval in milliseconds."""
-        fast = 1 - math.exp(-elapsed / FAST_MS)
-        slow = 1 - math.exp(-elapsed / SLOW_MS)
-        rate = arrivals * 1000 / elapsed
-        self.fast += (rate - self.fast) * fast
-        self.slow += (rate - self.slow) * slow
-        self.used += (admitted * 1000 / elapsed - self.used) * fast
+        part = 1 - math.exp(-elapsed / MEMORY_MS)
+        per_second = MILLIS_PER_SECOND / elapsed
+        self.arriving += (arrivals * per_second - self.arriving) * part
+        self.used += (admitted * per_second - self.used) * part
 
     def park(self, now: Millis) -> None:
         """Count a call that waits for a loan."""
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -224,7 +224,7 @@
     state.measured_at = now
     for name, borrower in state.borrowers.items():
         bucket = state.buckets[name]
-        if bucket.arrivals or borrower.slow:
+        if bucket.arrivals or borrower.arriving:
             borrower.measure(bucket.arrivals, bucket.admitted, elapsed)
             bucket.arrivals = bucket.admitted = 0
             borrower.forget_parked(now)
