Ask known lenders for rate when no hint names one

After a shift a node knew only the few lenders that the exchange had seen with spare rate, and waited up to a second for more.

--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -33,7 +33,7 @@
 SUMMARY_LIFE_MS = 3000.0
 SUMMARY_INTERVAL_MS = 1000.0
 MOST_LENDERS = 64
-FEWEST_LENDERS = 4
+FEWEST_LENDERS = 8
 SUMMARY_LENDERS = 16
 MOST_OWNERS = 16
 SMALLEST_SPARE = 0.01
@@ -223,9 +223,26 @@
             missing -= lender.rate
             chosen.append(lender)
             _promise(state, demand.bucket, lender, now)
+    if len(chosen) < FEWEST_LENDERS:
+        chosen.extend(_others(state, sender, chosen))
     return tuple(chosen)
 
 
+def _others(
+    state: ExchangeState, sender: NodeId, chosen: list[Lender]
+) -> Iterator[Lender]:
+    """Yield random nodes that may have tokens though no spare rate."""
+    named = {lender.node for lender in chosen}
+    own = state.members.get(state.domain, [])
+    everyone = list(state.holders.values())
+    for members in (own, everyone):
+        count = min(len(members), FEWEST_LENDERS)
+        for member in state.random.sample(members, count):
+            if member.node not in named and member.node != sender:
+                named.add(member.node)
+                yield Lender(member.node, 0)
+
+
 def _promise(
     state: ExchangeState, bucket: BucketId, lender: Lender, now: Millis
 ) -> None:
--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -100,6 +100,8 @@
     if want.tokens:
         state.borrowers[want.bucket].grant(request.lender)
         bucket.token_loans.append(piece.loan)
+    else:
+        state.borrowers[want.bucket].lent_rate()
     return True
 
 
@@ -170,18 +172,28 @@
             part = min(rate, missing)
             missing -= part
             borrower.lenders[lender] = 0
-            short = max(0, 1 - bucket.burst)
-            _want(
-                state,
-                lender,
-                bucket,
-                borrower,
-                Want(0, bucket.identity, part, short, 0, TERM_MS),
-            )
+            _want_rate(state, lender, bucket, borrower, part)
     if missing > need * SMALLEST_PART:
+        probed = borrower.probe(now)
+        for lender in probed:
+            part = missing / len(probed)
+            _want_rate(state, lender, bucket, borrower, part)
         _ask_exchange(state, bucket, borrower, now, RATE_INTERVAL_MS)
 
 
+def _want_rate(
+    state: RateState,
+    lender: NodeId,
+    bucket: Bucket,
+    borrower: Borrower,
+    part: float,
+) -> None:
+    # Rate without room for a whole token is of no use.
+    short = max(0, 1 - bucket.burst)
+    want = Want(0, bucket.identity, part, short, 0, TERM_MS)
+    _want(state, lender, bucket, borrower, want)
+
+
 def _ask_tokens(state: RateState, name: BucketId, now: Millis) -> None:
     borrower = state.borrowers.get(name)
     if borrower is None:
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -1,5 +1,6 @@
 """Estimate the demand for one bucket and pace the search for lenders."""
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Iterable
@@ -20,6 +21,9 @@
 LONGEST_PAUSE_MS = 500.0
 DENIALS_PER_ROUND = 4
 LENDERS_KEPT = 128
+PROBES = 4
+FIRST_PROBE_PAUSE_MS = 100.0
+LONGEST_PROBE_PAUSE_MS = 3200.0
 
 
 class Borrower:
@@ -37,6 +41,8 @@
         'parked',
         'parked_at',
         'pause',
+        'probe_at',
+        'probe_pause',
         'ready',
         'used',
     )
@@ -50,6 +56,8 @@
         self.ready: dict[NodeId, Millis] = {}
         self.pause = FIRST_PAUSE_MS
         self.denials = 0
+        self.probe_at = Millis(-math.inf)
+        self.probe_pause = FIRST_PROBE_PAUSE_MS
         self.hint_at = Millis(-math.inf)
         self.lenders: dict[NodeId, float] = {}
         self.order: deque[NodeId] = deque()
@@ -107,6 +115,23 @@
                 return node
         return None
 
+    def probe(self, now: Millis) -> list[NodeId]:
+        """Return lenders to ask for rate although none is hinted."""
+        if now < self.probe_at:
+            return []
+        self.probe_at = Millis(now + self.probe_pause)
+        self.probe_pause = min(self.probe_pause * 2, LONGEST_PROBE_PAUSE_MS)
+        probed = list(itertools.islice(self.order, PROBES))
+        for node in probed:
+            self.order.remove(node)
+            self.order.append(node)
+        return probed
+
+    def lent_rate(self) -> None:
+        """Probe again soon: some lender has rate to spare."""
+        self.probe_pause = FIRST_PROBE_PAUSE_MS
+        self.probe_at = Millis(-math.inf)
+
     def wants_hints(self, now: Millis, interval: float) -> bool:
         """Return whether the exchange may be asked, at most this often."""
         if now < self.hint_at:
