Send demand only on change and ask for rate only beyond chance

Reports of all buckets every 500 ms and hints for each of them made the exchange the busiest node; demand estimates of a few calls a second swing by more than 5% by chance.

--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -29,7 +29,8 @@
     LenderHints,
 )
 
-REPORT_LIFE_MS = 1500.0
+REPORT_LIFE_MS = 6000.0
+PROMISE_LIFE_MS = 1500.0
 SUMMARY_LIFE_MS = 3000.0
 SUMMARY_INTERVAL_MS = 1000.0
 MOST_LENDERS = 64
@@ -109,7 +110,7 @@
         state.seen[demand.bucket][sender] = _Seen(
             spare, max(0, demand.wanted - demand.held), now
         )
-        if demand.urgent or demand.wanted > demand.held:
+        if demand.urgent:
             if _has_few_owners(state, demand.bucket):
                 lenders = _owners(state, sender, demand.bucket)
             else:
@@ -248,7 +249,8 @@
 ) -> None:
     seen = state.seen[bucket].get(lender.node)
     if seen is None:
-        state.seen[bucket][lender.node] = _Seen(0, 0, now)
+        at = Millis(now + PROMISE_LIFE_MS - REPORT_LIFE_MS)
+        state.seen[bucket][lender.node] = _Seen(0, 0, at)
     else:
         seen.spare = 0
 
--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -1,5 +1,7 @@
 """Borrow shares and tokens from other nodes."""
 
+import math
+
 import msgspec
 
 from jasmineramp.clock import Millis
@@ -25,8 +27,11 @@
 RATE_INTERVAL_MS = 100.0
 RENEWAL_INTERVAL_MS = 1000.0
 MOST_TOKENS = 32
-# A missing rate below this part of the need is left to token loans.
+# A missing rate below this part of the need, or within the chance of single
+# calls, is left to token loans.
 SMALLEST_PART = 0.05
+# Rate is borrowed only while the bucket is filled less than this.
+LOW_PART = 0.5
 # A narrow bucket has too little burst to hand its rate to small borrowers.
 NARROW_PART = 0.5
 
@@ -159,7 +164,8 @@
     """Ask hinted lenders, or the exchange, for missing rate."""
     need = borrower.need
     missing = need - bucket.held - borrower.asked_rate
-    if missing <= need * SMALLEST_PART or bucket.tokens * 2 > bucket.burst:
+    least = need * SMALLEST_PART + math.sqrt(need)
+    if missing <= least or bucket.tokens > bucket.burst * LOW_PART:
         return
     limit = state.tables[-1].limits.get(bucket.identity)
     if limit is None or (
@@ -173,7 +179,7 @@
             missing -= part
             borrower.lenders[lender] = 0
             _want_rate(state, lender, bucket, borrower, part)
-    if missing > need * SMALLEST_PART:
+    if missing > least:
         probed = borrower.probe(now)
         for lender in probed:
             part = missing / len(probed)
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -22,6 +22,8 @@
 DENIALS_PER_ROUND = 4
 LENDERS_KEPT = 128
 PROBES = 4
+SMALLEST_CHANGE = 0.25
+TOLD_LIFE_MS = 4000.0
 FIRST_PROBE_PAUSE_MS = 100.0
 LONGEST_PROBE_PAUSE_MS = 3200.0
 
@@ -44,6 +46,9 @@
         'probe_at',
         'probe_pause',
         'ready',
+        'told_at',
+        'told_held',
+        'told_need',
         'used',
     )
 
@@ -56,6 +61,9 @@
         self.ready: dict[NodeId, Millis] = {}
         self.pause = FIRST_PAUSE_MS
         self.denials = 0
+        self.told_at = Millis(-math.inf)
+        self.told_held: float = 0
+        self.told_need: float = 0
         self.probe_at = Millis(-math.inf)
         self.probe_pause = FIRST_PROBE_PAUSE_MS
         self.hint_at = Millis(-math.inf)
@@ -115,6 +123,18 @@
                 return node
         return None
 
+    def must_report(self, held: float, now: Millis) -> bool:
+        """Return whether the exchange knows too little of the demand."""
+        need = self.need
+        change = max(abs(held - self.told_held), abs(need - self.told_need))
+        small = change < SMALLEST_CHANGE * max(held, need)
+        if small and now - self.told_at < TOLD_LIFE_MS:
+            return False
+        self.told_held = held
+        self.told_need = need
+        self.told_at = now
+        return True
+
     def probe(self, now: Millis) -> list[NodeId]:
         """Return lenders to ask for rate although none is hinted."""
         if now < self.probe_at:
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -205,13 +205,14 @@
 
 
 def report_demand(state: RateState, now: Millis) -> DemandReport:
-    """Return the demand for all buckets in use."""
+    """Return the demand for the buckets in use where it has changed."""
     demands = []
     for name, borrower in state.borrowers.items():
         bucket = state.buckets[name]
         if borrower.need or bucket.borrowed or bucket.lent:
             bucket.advance(now)
-            demands.append(demand(bucket, borrower))
+            if borrower.must_report(bucket.held, now):
+                demands.append(demand(bucket, borrower))
     return DemandReport(tuple(demands))
 
 
