--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -237,7 +237,7 @@
     own = state.members.get(state.domain, [])
     everyone = list(state.holders.values())
     for members in (own, everyone):
-        count = min(len(members), FEWEST_LENDERS)
+        count = min(len(members), FEWEST_LENDERS // 2)
         for member in state.random.sample(members, count):
             if member.node not in named and member.node != sender:
                 named.add(member.node)
--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -24,6 +24,7 @@
 
 TOKEN_TERM_MS = 250.0
 HINT_INTERVAL_MS = 20.0
+HINT_PAUSE_FACTOR = 4
 RATE_INTERVAL_MS = 100.0
 RENEWAL_INTERVAL_MS = 1000.0
 MOST_TOKENS = 32
@@ -210,8 +211,8 @@
     bucket = state.buckets[name]
     lender = borrower.next_lender(now)
     if lender is None:
-        if not borrower.order:
-            _ask_exchange(state, bucket, borrower, now, HINT_INTERVAL_MS)
+        pause = max(HINT_INTERVAL_MS, borrower.pause * HINT_PAUSE_FACTOR)
+        _ask_exchange(state, bucket, borrower, now, pause)
         if now < borrower.next_ask <= now + WAIT_MS:
             state.wake(name, borrower.next_ask)
     else:
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -100,6 +100,7 @@
             if lender.node != own:
                 if lender.node not in self.lenders:
                     self.order.appendleft(lender.node)
+                    self.next_ask = Millis(-math.inf)
                 self.lenders[lender.node] = lender.rate
         while len(self.order) > LENDERS_KEPT:
             dropped = self.order.pop()
@@ -127,7 +128,8 @@
         """Return whether the exchange knows too little of the demand."""
         need = self.need
         change = max(abs(held - self.told_held), abs(need - self.told_need))
-        small = change < SMALLEST_CHANGE * max(held, need)
+        largest = max(held, need)
+        small = change < SMALLEST_CHANGE * largest + math.sqrt(largest)
         if small and now - self.told_at < TOLD_LIFE_MS:
             return False
         self.told_held = held
