--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -181,7 +181,7 @@
             borrower.lenders[lender] = 0
             _want_rate(state, lender, bucket, borrower, part)
     if missing > least:
-        probed = borrower.probe(now)
+        probed = borrower.probe(missing, now)
         for lender in probed:
             part = missing / len(probed)
             _want_rate(state, lender, bucket, borrower, part)
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -25,6 +25,8 @@
 SMALLEST_CHANGE = 0.25
 TOLD_LIFE_MS = 4000.0
 FIRST_PROBE_PAUSE_MS = 100.0
+SHIFT_PROBE_PAUSE_MS = 400.0
+SHIFTED_PART = 0.5
 LONGEST_PROBE_PAUSE_MS = 3200.0
 
 
@@ -45,6 +47,7 @@
         'pause',
         'probe_at',
         'probe_pause',
+        'probed_at',
         'ready',
         'told_at',
         'told_held',
@@ -65,6 +68,7 @@
         self.told_held: float = 0
         self.told_need: float = 0
         self.probe_at = Millis(-math.inf)
+        self.probed_at = Millis(-math.inf)
         self.probe_pause = FIRST_PROBE_PAUSE_MS
         self.hint_at = Millis(-math.inf)
         self.lenders: dict[NodeId, float] = {}
@@ -137,10 +141,17 @@
         self.told_at = now
         return True
 
-    def probe(self, now: Millis) -> list[NodeId]:
+    def probe(self, missing: float, now: Millis) -> list[NodeId]:
         """Return lenders to ask for rate although none is hinted."""
+        if missing > self.need * SHIFTED_PART:
+            # Most of the demand is new, so that old denials mean little.
+            self.probe_pause = min(self.probe_pause, SHIFT_PROBE_PAUSE_MS)
+            self.probe_at = min(
+                self.probe_at, Millis(self.probed_at + SHIFT_PROBE_PAUSE_MS)
+            )
         if now < self.probe_at:
             return []
+        self.probed_at = now
         self.probe_at = Millis(now + self.probe_pause)
         self.probe_pause = min(self.probe_pause * 2, LONGEST_PROBE_PAUSE_MS)
         probed = list(itertools.islice(self.order, PROBES))
@@ -150,9 +161,9 @@
         return probed
 
     def lent_rate(self) -> None:
-        """Probe again soon: some lender has rate to spare."""
-        self.probe_pause = FIRST_PROBE_PAUSE_MS
-        self.probe_at = Millis(-math.inf)
+        """Probe sooner: some lender has rate to spare."""
+        self.probe_pause = max(self.probe_pause / 2, FIRST_PROBE_PAUSE_MS)
+        self.probe_at = Millis(self.probed_at + self.probe_pause)
 
     def wants_hints(self, now: Millis, interval: float) -> bool:
         """Return whether the exchange may be asked, at most this often."""
