--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -8,7 +8,7 @@
 from jasmineramp.effects import SendMessage
 from jasmineramp.ids import BucketId, NodeId
 from jasmineramp.rate_buckets import NEVER, TERM_MS, Bucket, Slice, is_narrow
-from jasmineramp.rate_demand import WAIT_MS, Borrower
+from jasmineramp.rate_demand import SHIFTED_PART, WAIT_MS, Borrower
 from jasmineramp.rate_messages import (
     Demand,
     DemandReport,
@@ -24,7 +24,8 @@
 
 TOKEN_TERM_MS = 250.0
 HINT_INTERVAL_MS = 20.0
-HINT_PAUSE_FACTOR = 4
+DENIED_HINT_INTERVAL_MS = 500.0
+CALM_HINT_INTERVAL_MS = 2000.0
 RATE_INTERVAL_MS = 100.0
 RENEWAL_INTERVAL_MS = 1000.0
 MOST_TOKENS = 32
@@ -185,7 +186,14 @@
         for lender in probed:
             part = missing / len(probed)
             _want_rate(state, lender, bucket, borrower, part)
-        _ask_exchange(state, bucket, borrower, now, RATE_INTERVAL_MS)
+        shifted = missing > need * SHIFTED_PART
+        _ask_exchange(
+            state,
+            bucket,
+            borrower,
+            now,
+            RATE_INTERVAL_MS if shifted else CALM_HINT_INTERVAL_MS,
+        )
 
 
 def _want_rate(
@@ -211,7 +219,7 @@
     bucket = state.buckets[name]
     lender = borrower.next_lender(now)
     if lender is None:
-        pause = max(HINT_INTERVAL_MS, borrower.pause * HINT_PAUSE_FACTOR)
+        pause = DENIED_HINT_INTERVAL_MS if borrower.order else HINT_INTERVAL_MS
         _ask_exchange(state, bucket, borrower, now, pause)
         if now < borrower.next_ask <= now + WAIT_MS:
             state.wake(name, borrower.next_ask)
