--- a/bench/rate_shares.py
+++ b/bench/rate_shares.py
@@ -373,6 +373,7 @@
         refused_later=settled,
         calls=f'{count}+{later}',
         admitted_of_rate=used / 5 / limit[0],
+        ideal_of_rate=later / 5 / limit[0],
         waited=sum(wait > 0 for wait in waits) / max(1, len(waits)),
         messages_node_s=messages / 4 / size,
         bytes_node_s=octets / 4 / size,
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -484,7 +484,7 @@
 class SharesTest(SharesMachine.TestCase):
     """Guard against calls over the rate and burst of the whole fleet."""
 
-    settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
+    settings = settings(max_examples=200, stateful_step_count=30, deadline=None)
 
 
 LENDER, BORROWER = NodeId('lender'), NodeId('borrower')
