--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -29,11 +29,12 @@
     LenderHints,
 )
 
-REPORT_LIFE_MS = 1500.0
+REPORT_LIFE_MS = 6000.0
+PROMISE_LIFE_MS = 1500.0
 SUMMARY_LIFE_MS = 3000.0
 SUMMARY_INTERVAL_MS = 1000.0
 MOST_LENDERS = 64
-FEWEST_LENDERS = 4
+FEWEST_LENDERS = 8
 SUMMARY_LENDERS = 16
 MOST_OWNERS = 16
 SMALLEST_SPARE = 0.01
@@ -109,7 +110,7 @@
         state.seen[demand.bucket][sender] = _Seen(
             spare, max(0, demand.wanted - demand.held), now
         )
-        if demand.urgent or demand.wanted > demand.held:
+        if demand.urgent:
             if _has_few_owners(state, demand.bucket):
                 lenders = _owners(state, sender, demand.bucket)
             else:
@@ -223,15 +224,33 @@
             missing -= lender.rate
             chosen.append(lender)
             _promise(state, demand.bucket, lender, now)
+    if len(chosen) < FEWEST_LENDERS:
+        chosen.extend(_others(state, sender, chosen))
     return tuple(chosen)
 
 
+def _others(
+    state: ExchangeState, sender: NodeId, chosen: list[Lender]
+) -> Iterator[Lender]:
+    """Yield random nodes that may have tokens though no spare rate."""
+    named = {lender.node for lender in chosen}
+    own = state.members.get(state.domain, [])
+    everyone = list(state.holders.values())
+    for members in (own, everyone):
+        count = min(len(members), FEWEST_LENDERS // 2)
+        for member in state.random.sample(members, count):
+            if member.node not in named and member.node != sender:
+                named.add(member.node)
+                yield Lender(member.node, 0)
+
+
 def _promise(
     state: ExchangeState, bucket: BucketId, lender: Lender, now: Millis
 ) -> None:
     seen = state.seen[bucket].get(lender.node)
     if seen is None:
-        state.seen[bucket][lender.node] = _Seen(0, 0, now)
+        at = Millis(now + PROMISE_LIFE_MS - REPORT_LIFE_MS)
+        state.seen[bucket][lender.node] = _Seen(0, 0, at)
     else:
         seen.spare = 0
 
--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -1,12 +1,14 @@
 """Borrow shares and tokens from other nodes."""
 
+import math
+
 import msgspec
 
 from jasmineramp.clock import Millis
 from jasmineramp.effects import SendMessage
 from jasmineramp.ids import BucketId, NodeId
-from jasmineramp.rate_buckets import TERM_MS, Bucket, Slice, is_narrow
-from jasmineramp.rate_demand import Borrower
+from jasmineramp.rate_buckets import NEVER, TERM_MS, Bucket, Slice, is_narrow
+from jasmineramp.rate_demand import SHIFTED_PART, WAIT_MS, Borrower
 from jasmineramp.rate_messages import (
     Demand,
     DemandReport,
@@ -22,11 +24,16 @@
 
 TOKEN_TERM_MS = 250.0
 HINT_INTERVAL_MS = 20.0
+DENIED_HINT_INTERVAL_MS = 500.0
+CALM_HINT_INTERVAL_MS = 2000.0
 RATE_INTERVAL_MS = 100.0
 RENEWAL_INTERVAL_MS = 1000.0
 MOST_TOKENS = 32
-# A missing rate below this part of the need is left to token loans.
+# A missing rate below this part of the need, or within the chance of single
+# calls, is left to token loans.
 SMALLEST_PART = 0.05
+# Rate is borrowed only while the bucket is filled less than this.
+LOW_PART = 0.5
 # A narrow bucket has too little burst to hand its rate to small borrowers.
 NARROW_PART = 0.5
 
@@ -60,7 +67,8 @@
                 changed.add(want.bucket)
     for want in wants.values():
         close_want(state, want, request)
-        if _deny_one(state, want, now):
+        if want.tokens and want.bucket in state.borrowers:
+            state.borrowers[want.bucket].deny(sender, loan.retry, now)
             changed.add(want.bucket)
     for renewed in request.renewals.intersection(loan.renewed):
         bucket = state.index.get(renewed)
@@ -97,16 +105,10 @@
     )
     bucket.borrow(piece, grant.tokens)
     if want.tokens:
-        state.borrowers[want.bucket].grant()
+        state.borrowers[want.bucket].grant(request.lender)
         bucket.token_loans.append(piece.loan)
-    return True
-
-
-def _deny_one(state: RateState, want: Want, now: Millis) -> bool:
-    borrower = state.borrowers.get(want.bucket)
-    if borrower is None or not want.tokens:
-        return False
-    borrower.deny(now)
+    else:
+        state.borrowers[want.bucket].lent_rate()
     return True
 
 
@@ -164,7 +166,8 @@
     """Ask hinted lenders, or the exchange, for missing rate."""
     need = borrower.need
     missing = need - bucket.held - borrower.asked_rate
-    if missing <= need * SMALLEST_PART or bucket.tokens * 2 > bucket.burst:
+    least = need * SMALLEST_PART + math.sqrt(need)
+    if missing <= least or bucket.tokens > bucket.burst * LOW_PART:
         return
     limit = state.tables[-1].limits.get(bucket.identity)
     if limit is None or (
@@ -177,29 +180,49 @@
             part = min(rate, missing)
             missing -= part
             borrower.lenders[lender] = 0
-            short = max(0, 1 - bucket.burst)
-            _want(
-                state,
-                lender,
-                bucket,
-                borrower,
-                Want(0, bucket.identity, part, short, 0, TERM_MS),
-            )
-    if missing > need * SMALLEST_PART:
-        _ask_exchange(state, bucket, borrower, now, RATE_INTERVAL_MS)
+            _want_rate(state, lender, bucket, borrower, part)
+    if missing > least:
+        probed = borrower.probe(missing, now)
+        for lender in probed:
+            part = missing / len(probed)
+            _want_rate(state, lender, bucket, borrower, part)
+        shifted = missing > need * SHIFTED_PART
+        _ask_exchange(
+            state,
+            bucket,
+            borrower,
+            now,
+            RATE_INTERVAL_MS if shifted else CALM_HINT_INTERVAL_MS,
+        )
+
+
+def _want_rate(
+    state: RateState,
+    lender: NodeId,
+    bucket: Bucket,
+    borrower: Borrower,
+    part: float,
+) -> None:
+    # Rate without room for a whole token is of no use.
+    short = max(0, 1 - bucket.burst)
+    want = Want(0, bucket.identity, part, short, 0, TERM_MS)
+    _want(state, lender, bucket, borrower, want)
 
 
 def _ask_tokens(state: RateState, name: BucketId, now: Millis) -> None:
     borrower = state.borrowers.get(name)
-    if borrower is None or now < borrower.exhausted_until:
+    if borrower is None:
         return
     missing = min(borrower.parked, MOST_TOKENS) - borrower.asked_tokens
     if missing <= 0:
         return
     bucket = state.buckets[name]
-    lender = borrower.next_lender()
+    lender = borrower.next_lender(now)
     if lender is None:
-        _ask_exchange(state, bucket, borrower, now, HINT_INTERVAL_MS)
+        pause = DENIED_HINT_INTERVAL_MS if borrower.order else HINT_INTERVAL_MS
+        _ask_exchange(state, bucket, borrower, now, pause)
+        if now < borrower.next_ask <= now + WAIT_MS:
+            state.wake(name, borrower.next_ask)
     else:
         _want(
             state,
@@ -260,11 +283,15 @@
 def pending_messages(state: RateState, now: Millis) -> list[SendMessage]:
     """Return the messages to send; call after every event.
 
+    Call it also at state.wake_at, after another try of the parked calls.
     Messages to the own node are delivered as if received.
     """
-    if not state.has_output:
+    if now >= state.wake_at:
+        state.asking |= state.waking
+        state.waking.clear()
+        state.wake_at = NEVER
+    elif not state.has_output:
         return []
-    state.has_output = False
     for name in state.asking:
         _ask_tokens(state, name, now)
     state.asking.clear()
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -166,7 +166,12 @@
     parked: bool,
 ) -> TakeResult:
     borrower = state.borrowers[bucket.identity]
-    if now < borrower.exhausted_until or state.exchange is None:
+    # Calls that wait already get the tokens that come first.
+    ahead = 1 + borrower.parked - bucket.tokens
+    wait = ahead / bucket.rate if bucket.rate else NEVER
+    if wait <= WAIT_MS:
+        state.wake(bucket.identity, Millis(now + wait))
+    elif state.exchange is None or now + WAIT_MS < borrower.next_ask:
         return describe_excess(state, bucket.identity)
     if not parked:
         borrower.park(now)
@@ -215,13 +220,14 @@
 
 
 def report_demand(state: RateState, now: Millis) -> DemandReport:
-    """Return the demand for all buckets in use."""
+    """Return the demand for the buckets in use where it has changed."""
     demands = []
     for name, borrower in state.borrowers.items():
         bucket = state.buckets[name]
         if borrower.need or bucket.borrowed or bucket.lent:
             bucket.advance(now)
-            demands.append(demand(bucket, borrower))
+            if borrower.must_report(bucket.held, now):
+                demands.append(demand(bucket, borrower))
     return DemandReport(tuple(demands))
 
 
@@ -234,7 +240,7 @@
     state.measured_at = now
     for name, borrower in state.borrowers.items():
         bucket = state.buckets[name]
-        if bucket.arrivals or borrower.slow:
+        if bucket.arrivals or borrower.arriving:
             borrower.measure(bucket.arrivals, bucket.admitted, elapsed)
             bucket.arrivals = bucket.admitted = 0
             borrower.forget_parked(now)
