--- /dev/null
+++ b/bench/routing_choice.py
@@ -0,0 +1,159 @@
+"""Measure the cost of a choice and the balance over unequal instances.
+
+The balance runs in simulated time: entry nodes send calls with exponential
+gaps to instances that differ in speed up to eight times. Usage:
+python -m bench.routing_choice [--seed 1] [--calls 60000]
+"""
+
+import argparse
+import heapq
+import random
+import time
+from collections import deque
+
+from jasmineramp import routing
+from jasmineramp.clock import Millis
+from jasmineramp.ids import DomainId, NodeId, ServiceName
+from jasmineramp.membership_messages import Instance, Upstream
+from jasmineramp.routing import CallOutcome, LoadReport
+
+SERVICE = ServiceName('orders')
+DOMAIN = DomainId('a')
+WARM = Millis(100_000)
+NOBODY: frozenset[NodeId] = frozenset()
+SPEEDS = (1, 1, 2, 2, 4, 4, 8, 8)
+SLOTS = 8
+SERVICE_MS = 40
+USE = 0.8
+
+
+def make_state(weights: list[float], seed: int) -> routing.RoutingState:
+    """Return a state with one instance per weight."""
+    state = routing.RoutingState(DOMAIN, random.Random(seed), Millis(0))
+    instances = [
+        Instance(
+            NodeId(f'node-{number}'),
+            DOMAIN,
+            1,
+            Upstream(SERVICE, 80, SLOTS, 1000, weight),
+        )
+        for number, weight in enumerate(weights)
+    ]
+    routing.set_instances(state, instances, Millis(0))
+    return state
+
+
+def measure_cost(count: int, seed: int, rounds: int = 100_000) -> float:
+    """Return the microseconds of a choice and its observation."""
+    rng = random.Random(seed)
+    state = make_state([rng.choice(SPEEDS) for _ in range(count)], seed)
+    report = LoadReport()
+    running: deque[NodeId] = deque()
+    started = time.perf_counter()
+    for _ in range(rounds):
+        chosen = routing.choose(state, SERVICE, NOBODY, WARM)
+        running.append(chosen.node)
+        if len(running) > 20:
+            routing.observe(
+                state,
+                running.popleft(),
+                CallOutcome.succeeded,
+                WARM,
+                load=report,
+            )
+    return (time.perf_counter() - started) / rounds * 1e6
+
+
+class Balance:
+    """Simulate instances with slots and queues behind entry nodes."""
+
+    def __init__(self, entries: int, weights: list[float], seed: int) -> None:
+        self.random = random.Random(seed)
+        self.states = [make_state(weights, seed + i) for i in range(entries)]
+        self.weights = weights
+        self.queues: list[deque] = [deque() for _ in SPEEDS]
+        self.running = [0] * len(SPEEDS)
+        self.latencies: list[float] = []
+        self.events: list[tuple] = []
+        self.count = 0
+
+    def run(self, calls: int, *, by_routing: bool) -> list[float]:
+        """Return the sorted latencies of the calls."""
+        capacity = sum(SPEEDS) * SLOTS / SERVICE_MS
+        at = float(WARM)
+        for _ in range(calls):
+            at += self.random.expovariate(capacity * USE)
+            self.push(at, None, 0, 0)
+        while self.events:
+            now, _, state, target, started = heapq.heappop(self.events)
+            if state is None:
+                self.arrive(now, by_routing)
+            else:
+                self.finish(now, state, target, started)
+        return sorted(self.latencies)
+
+    def push(self, at: float, state: object, target: int, started: float):
+        self.count += 1
+        heapq.heappush(self.events, (at, self.count, state, target, started))
+
+    def arrive(self, now: float, by_routing: bool) -> None:
+        state = self.random.choice(self.states)
+        if by_routing:
+            chosen = routing.choose(state, SERVICE, NOBODY, Millis(now))
+            target = int(chosen.node.removeprefix('node-'))
+        else:
+            target = self.random.choices(range(len(SPEEDS)), self.weights)[0]
+        self.queues[target].append((state, now))
+        self.start(now, target)
+
+    def start(self, now: float, target: int) -> None:
+        while self.queues[target] and self.running[target] < SLOTS:
+            state, started = self.queues[target].popleft()
+            self.running[target] += 1
+            mean = SERVICE_MS / SPEEDS[target]
+            took = self.random.expovariate(1 / mean)
+            self.push(now + took, state, target, started)
+
+    def finish(
+        self, now: float, state: object, target: int, started: float
+    ) -> None:
+        self.running[target] -= 1
+        self.latencies.append(now - started)
+        routing.observe(
+            state,
+            NodeId(f'node-{target}'),
+            CallOutcome.succeeded,
+            Millis(now),
+            load=LoadReport(queued=len(self.queues[target])),
+        )
+        self.start(now, target)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--calls', type=int, default=60_000)
+    options = parser.parse_args()
+    for count in (10, 1_500):
+        cost = measure_cost(count, options.seed)
+        print(f'{count} instances: {cost:.2f} us per choose and observe')
+    for label, weights in (
+        ('right weights', [float(speed) for speed in SPEEDS]),
+        ('equal weights', [1.0] * len(SPEEDS)),
+    ):
+        for entries in (1, 20, 200):
+            for by_routing in (False, True):
+                balance = Balance(entries, weights, options.seed)
+                found = balance.run(options.calls, by_routing=by_routing)
+                last = len(found) - 1
+                print(
+                    f'{label}, {entries} entry nodes,'
+                    f' {"routing" if by_routing else "random "}:'
+                    f' mean {sum(found) / len(found):.1f} ms,'
+                    f' p50 {found[last // 2]:.1f} ms,'
+                    f' p99 {found[round(last * 0.99)]:.1f} ms'
+                )
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -282,7 +282,7 @@
         # Nodes that know no running node at all can't find each other.
         running = {f'address-{name}' for name in self.network.states}
         if not running & set(self.network.seeds):
-            self.network.start('a-0')
+            self.restart('a-0', back=False)
         self.run(SETTLE_MS)
         truth = {
             name: upstream.state
