Correct instance weights by the capacity that their nodes measure

Cause: with 200 entry nodes each sends too few calls to an instance to learn its speed, so wrong announced weights overloaded slow instances. A load report now carries the capacity in calls a second; a weight may differ from the announced one, relative to the median, by a factor of 8.

Conclusion: the node next to the instance must do the measuring.

--- a/bench/routing_choice.py
+++ b/bench/routing_choice.py
@@ -73,6 +73,7 @@
         self.weights = weights
         self.queues: list[deque] = [deque() for _ in SPEEDS]
         self.running = [0] * len(SPEEDS)
+        self.service_ms = [float(SERVICE_MS)] * len(SPEEDS)
         self.latencies: list[float] = []
         self.events: list[tuple] = []
         self.count = 0
@@ -83,18 +84,22 @@
         at = float(WARM)
         for _ in range(calls):
             at += self.random.expovariate(capacity * USE)
-            self.push(at, None, 0, 0)
+            self.push(at, None)
         while self.events:
-            now, _, state, target, started = heapq.heappop(self.events)
+            now, _, state, *call = heapq.heappop(self.events)
             if state is None:
                 self.arrive(now, by_routing)
             else:
-                self.finish(now, state, target, started)
+                self.finish(now, state, *call)
         return sorted(self.latencies)
 
-    def push(self, at: float, state: object, target: int, started: float):
+    def push(self, at: float, *event: object) -> None:
         self.count += 1
-        heapq.heappush(self.events, (at, self.count, state, target, started))
+        heapq.heappush(self.events, (at, self.count, *event))
+
+    def capacity(self, target: int) -> float:
+        """Return the calls a second that the instance's node measured."""
+        return SLOTS / self.service_ms[target] * 1000
 
     def arrive(self, now: float, by_routing: bool) -> None:
         state = self.random.choice(self.states)
@@ -112,19 +117,25 @@
             self.running[target] += 1
             mean = SERVICE_MS / SPEEDS[target]
             took = self.random.expovariate(1 / mean)
-            self.push(now + took, state, target, started)
+            self.push(now + took, state, target, started, took)
 
     def finish(
-        self, now: float, state: object, target: int, started: float
+        self,
+        now: float,
+        state: object,
+        target: int,
+        started: float,
+        took: float,
     ) -> None:
         self.running[target] -= 1
+        self.service_ms[target] += 0.05 * (took - self.service_ms[target])
         self.latencies.append(now - started)
         routing.observe(
             state,
             NodeId(f'node-{target}'),
             CallOutcome.succeeded,
             Millis(now),
-            load=LoadReport(queued=len(self.queues[target])),
+            load=LoadReport(len(self.queues[target]), self.capacity(target)),
         )
         self.start(now, target)
 
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -10,7 +10,13 @@
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
 from jasmineramp.membership_messages import Instance
-from jasmineramp.routing_targets import SLOW_START_MS, Pool, Service, Target
+from jasmineramp.routing_targets import (
+    SLOW_START_MS,
+    Pool,
+    Service,
+    Target,
+    weigh,
+)
 
 # A node that has just started sees every instance for the first time; these
 # instances are not cold.
@@ -19,6 +25,8 @@
 SPARE_REFRESH_MS = 100
 SAMPLING_ATTEMPTS = 6
 PROBE_RATIO = 0.02
+CAPACITY_CHANGE = 0.1
+REWEIGH_MS = 500
 
 # Four consecutive failures of a sound instance pass the ejection rate.
 FAILURE_SMOOTHING = 0.2
@@ -43,9 +51,12 @@
     """Carry the load that an instance node reports with a response.
 
     The shed level is the importance below which the instance refuses calls.
+    The capacity is the measured rate in calls a second at full use, 0 when
+    it is not known.
     """
 
     queued: int = 0
+    capacity: float = 0
     shed_level: int = 0
     healthy: bool = True
 
@@ -173,7 +184,7 @@
     if incarnation not in {None, target.instance.incarnation}:
         return
     if load is not None:
-        _take_report(target, load, now)
+        _take_report(service, target, load, now)
     if outcome is CallOutcome.succeeded:
         target.failure_rate -= FAILURE_SMOOTHING * target.failure_rate
         service.failure_rate -= (
@@ -316,6 +327,7 @@
     ejected.sort(key=lambda each: each.ejected_until)
     while len(ejected) * 2 > len(ready):
         ejected.pop(0).ejected_until = 0
+    weigh(ready)
     by_domain: dict[DomainId, list[Target]] = {}
     for target in ready:
         if now >= target.ejected_until:
@@ -330,12 +342,21 @@
     )
 
 
-def _take_report(target: Target, load: LoadReport, now: Millis) -> None:
+def _take_report(
+    service: Service,
+    target: Target,
+    load: LoadReport,
+    now: Millis,
+) -> None:
     # A misleading report must not keep an instance idle for long or attract
     # every call: it is bounded by the slots and valid for a short time.
     target.queued = min(max(load.queued, 0), target.slots)
     if not load.healthy:
         target.queued = max(target.queued, 1)
+    change = abs(load.capacity - target.capacity)
+    if load.capacity > 0 and change > CAPACITY_CHANGE * target.capacity:
+        target.capacity = load.capacity
+        service.rebuild_at = min(service.rebuild_at, now + REWEIGH_MS)
     target.shed_level = load.shed_level
     target.report_until = now + REPORT_VALID_MS
 
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -8,12 +8,15 @@
 
 SLOW_START_MS = 10_000
 LEAST_SLOW_START = 0.1
+CAPACITY_FACTOR = 8
 
 
 class Target:
     """Hold what this node knows about one instance."""
 
     __slots__ = (
+        'announced_weight',
+        'capacity',
         'cold_until',
         'connections',
         'ejected_until',
@@ -45,6 +48,8 @@
         self.queued = float(0)
         self.report_until = float(0)
         self.shed_level = 0
+        self.capacity = float(0)
+        self.weight = float(1)
         self.update(instance)
 
     def update(self, instance: Instance) -> None:
@@ -52,7 +57,7 @@
         self.instance = instance
         self.connections = max(1, instance.upstream.connections)
         self.slots = max(1, instance.upstream.slots)
-        self.weight = max(1e-3, instance.upstream.weight)
+        self.announced_weight = max(1e-3, instance.upstream.weight)
 
     def is_ready(self) -> bool:
         """Tell whether the instance accepts new calls."""
@@ -85,6 +90,26 @@
         return now < self.report_until and self.shed_level > importance
 
 
+def weigh(targets: list[Target]) -> None:
+    """Set the weights to the reported capacities where these are known.
+
+    A misleading report changes the announced weight of an instance, relative
+    to the others, by a bounded factor only.
+    """
+    ratios = sorted(
+        each.capacity / each.announced_weight
+        for each in targets
+        if each.capacity
+    )
+    scale = ratios[(len(ratios) - 1) // 2] if ratios else 1
+    for target in targets:
+        expected = target.announced_weight * scale
+        target.weight = min(
+            max(target.capacity or expected, expected / CAPACITY_FACTOR),
+            expected * CAPACITY_FACTOR,
+        )
+
+
 class Pool:
     """Hold the selectable instances of a service in one failure domain."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -137,6 +137,20 @@
         state.targets[NodeId('b')].in_flight = 1
         self.assertEqual(pick(state, later), 'a')
 
+    def test_reported_capacity_corrects_the_weight_within_bounds(self) -> None:
+        for capacity, least, most in ((400, 120, 280), (10**9, 60, 180)):
+            state = make_state(make_instance('a'), make_instance('b'))
+            for name, reported in (('a', 100), ('b', capacity)):
+                routing.observe(
+                    state,
+                    NodeId(name),
+                    CallOutcome.succeeded,
+                    WARM,
+                    load=LoadReport(capacity=reported),
+                )
+            share = count(state, 1000, WARM)['a']
+            self.assertTrue(least < share < most, (capacity, share))
+
     def test_cold_instance_starts_slowly(self) -> None:
         state = make_state(make_instance('old'))
         routing.put_instance(state, make_instance('new'), WARM)
