--- a/bench/membership_scale.py
+++ b/bench/membership_scale.py
@@ -183,6 +183,21 @@
             if name != watched
         ]
 
+    def crash_domain(self) -> list[float]:
+        """Stop a whole domain; return when each node finds it unavailable."""
+        name = self.nodes[self.pick()].state.domain
+        for node in list(self.nodes):
+            if self.nodes[node].state.domain == name:
+                self.nodes.pop(node)
+        started = self.now
+        found: dict[NodeId, float] = {}
+        while self.now < started + 2 * SETTLE_MS:
+            self.run(100)
+            for node, running in self.nodes.items():
+                if not membership.is_available(running.state, name):
+                    found.setdefault(node, self.now - started)
+        return list(found.values())
+
     def arrive(self) -> NodeId:
         """Start a new node that knows two seeds."""
         entry = make_entry(self.next_number, self.domains, int(self.now))
@@ -309,6 +324,8 @@
         for _ in range(trials):
             times.extend(fleet.time_until_known(act(), condition))
         show_times(label, times)
+    if fleet.domains > 1:
+        show_times('cut-off', fleet.crash_domain())
     print(f'  largest message {fleet.largest} B', flush=True)
     return idle
 
