Judge failure domains by direct pings only

Cause: the beat of each failure domain repeated what three missing answers tell, and invalidated the cached marks 14 times a second. The timers of foreign suspects and the sequence check after a pause were redundant as well.

Conclusion: cheaper and simpler; the tail of the detection must be cut another way.

--- a/bench/membership_scale.py
+++ b/bench/membership_scale.py
@@ -86,7 +86,7 @@
         self.next_number = size
         view = View()
         for entry in entries:
-            view.put(entry, 0)
+            view.put(entry)
         for entry in entries:
             state = MembershipState(
                 entry, [], random.Random(self.random.random()), Millis(0)
@@ -245,7 +245,7 @@
     copied.entries = dict(view.entries)
     copied.member_count = view.member_count
     for name, domain in view.domains.items():
-        found = type(domain)(domain.beat_at)
+        found = type(domain)()
         found.members = list(domain.members)
         found.digest = domain.digest
         copied.domains[name] = found
@@ -294,7 +294,7 @@
     tracemalloc.start()
     view = View()
     for entry in msgspec.msgpack.decode(encoded, type=list[NodeEntry]):
-        view.put(entry, 0)
+        view.put(entry)
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return held / size
--- a/src/jasmineramp/membership.py
+++ b/src/jasmineramp/membership.py
@@ -27,9 +27,6 @@
 from jasmineramp.membership_view import is_member
 
 HOUSEKEEPING_MS = 250
-BEAT_MS = 1_000
-# A beat takes about 3 s to reach every node at the target size.
-BEAT_TIMEOUT_MS = 10_000
 ISOLATED_MS = 5_000
 ANNOUNCEMENT_MS = 3_000
 
@@ -203,19 +200,11 @@
 
 
 def _keep_house(state: MembershipState, now: Millis) -> None:
-    own = state.view.domains[state.domain]
-    if state.is_current and now - own.beat_at >= BEAT_MS:
-        own.beat += 1
-        own.beat_at = now
-        state.marks = None
     for name, domain in state.view.domains.items():
         if name == state.domain:
             available = now - state.answered_at <= ISOLATED_MS
         else:
-            available = (
-                now - domain.beat_at <= BEAT_TIMEOUT_MS
-                and domain.misses < MISSES_UNTIL_UNREACHABLE
-            )
+            available = domain.misses < MISSES_UNTIL_UNREACHABLE
         if available != domain.available:
             domain.available = available
             state.changed_instances.update(dict.fromkeys(domain.members))
@@ -234,4 +223,4 @@
         if now < until:
             return
         state.tombstones.pop(node)
-        state.view.forget(node, now)
+        state.view.forget(node)
--- a/src/jasmineramp/membership_messages.py
+++ b/src/jasmineramp/membership_messages.py
@@ -63,14 +63,9 @@
 
 
 class DomainMark(msgspec.Struct, frozen=True, array_like=True):
-    """Summarize a failure domain.
-
-    The beat advances once a second while a member of the domain runs. The
-    digest covers the entries of all members that are not dead.
-    """
+    """Summarize the entries of all members of a domain that are not dead."""
 
     domain: DomainId
-    beat: int
     digest: int
 
 
--- a/src/jasmineramp/membership_probes.py
+++ b/src/jasmineramp/membership_probes.py
@@ -14,6 +14,7 @@
     EntryRequest,
     MembershipMessage,
     MemberStatus,
+    NodeEntry,
     Ping,
     PingRequest,
 )
@@ -60,6 +61,7 @@
     if now >= state.domain_ping_at:
         state.domain_ping_at = now + DOMAIN_PING_MS
         effects.extend(_ping_domain(state, now))
+        effects.extend(_ping_unavailable(state, now))
     if state.probes:
         effects.extend(_judge_probes(state, now))
     if state.suspects:
@@ -90,8 +92,7 @@
         return []
     effects = merge(state, (message.entry, *message.changes), now)
     peer = message.entry.node
-    release(state, peer)
-    compare_marks(state, message.marks, now)
+    _note_answer(state, message.entry)
     effects.append(SendMessage(peer, _ack(state, peer, message.sequence)))
     return effects
 
@@ -105,15 +106,12 @@
 ) -> list[Effect]:
     effects = merge(state, (message.entry, *message.changes), now)
     peer = message.entry.node
-    differing = compare_marks(state, message.marks, now)
+    differing = compare_marks(state, message.marks)
     probe = state.probes.pop(message.sequence, None)
     if probe is None:
         return effects
     state.answered_at = now
-    domain = state.view.domains.get(message.entry.domain)
-    if domain is not None:
-        domain.misses = 0
-    release(state, peer)
+    _note_answer(state, message.entry)
     release(state, message.target)
     if probe.kind is not ProbeKind.contact:
         record_result(state, message.target, now, answered=True)
@@ -125,7 +123,7 @@
         state.reported = (message.target, probe.revision)
     if differing:
         effects.extend(start_sync(state, peer, differing, now))
-    elif message.marks and message.sequence > state.confirm_after:
+    elif message.marks:
         state.is_current = True
     return effects
 
@@ -270,6 +268,27 @@
     return []
 
 
+def _ping_unavailable(state: MembershipState, now: Millis) -> list[Effect]:
+    # A domain that returns is found sooner than by its turn.
+    names = [
+        name
+        for name, domain in state.view.domains.items()
+        if domain.members and not domain.available and name != state.domain
+    ]
+    if not names:
+        return []
+    members = state.view.members(state.random.choice(names))
+    target = state.random.choice(members)
+    return [_ping(state, target, ProbeKind.domain, now)]
+
+
+def _note_answer(state: MembershipState, entry: NodeEntry) -> None:
+    domain = state.view.domains.get(entry.domain)
+    if domain is not None:
+        domain.misses = 0
+    release(state, entry.node)
+
+
 def _judge_probes(state: MembershipState, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
     for sequence, probe in list(state.probes.items()):
@@ -349,7 +368,7 @@
         if now < until or not state.is_current:
             continue
         entry = state.view.entries[node]
-        if entry.domain == state.domain and is_connected(state, now):
+        if is_connected(state, now):
             dead = msgspec.structs.replace(entry, status=MemberStatus.dead)
             effects.extend(replace_entry(state, entry, dead, now))
             enqueue(state, node)
--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -23,8 +23,6 @@
 )
 
 SUSPECT_MS = 3_000
-# Other failure domains wait for the verdict of the suspect's own domain.
-FOREIGN_SUSPECT_MS = 6_000
 TOMBSTONE_MS = 24 * 3_600_000
 GOSSIP_FACTOR = 1
 MAXIMUM_CHANGES = 16
@@ -116,7 +114,7 @@
         self.seeds = set(seeds) - {entry.address}
         self.random = rng
         self.view = View()
-        self.view.put(entry, now)
+        self.view.put(entry)
         self.gossip: dict[NodeId, int] = {}
         self.suspects: dict[NodeId, float] = {}
         self.held: set[NodeId] = set()
@@ -144,7 +142,6 @@
         self.newest_revision = (entry.revision, entry.node)
 
         self.is_current = not self.seeds
-        self.confirm_after = 0
         self.confirm_until = now + CONFIRM_MS
 
     @property
@@ -206,15 +203,15 @@
 ) -> list[Effect]:
     """Store a changed entry and start or stop its timers."""
     node = entry.node
-    state.view.put(entry, now)
+    state.view.put(entry)
     state.marks = None
     state.changed_instances[node] = None
     state.suspects.pop(node, None)
     state.held.discard(node)
-    if entry.status is MemberStatus.suspect:
-        is_own = entry.domain == state.domain
-        patience = SUSPECT_MS if is_own else FOREIGN_SUSPECT_MS
-        state.suspects[node] = now + patience
+    is_suspect = entry.status is MemberStatus.suspect
+    # Other failure domains wait for the verdict of the suspect's own one.
+    if is_suspect and entry.domain == state.domain:
+        state.suspects[node] = now + SUSPECT_MS
     if is_member(entry):
         state.tombstones.pop(node, None)
     else:
@@ -235,7 +232,7 @@
         version=state.entry.version + 1,
         **fields,
     )
-    state.view.put(state.entry, now)
+    state.view.put(state.entry)
     state.marks = None
     state.changed_instances[state.node] = None
     enqueue(state, state.node)
@@ -312,8 +309,8 @@
         return
     state.ticked_at = now
     state.is_current = False
-    state.confirm_after = state.sequence
     state.confirm_until = now + CONFIRM_MS
+    # Late answers to pings from before the pause confirm nothing.
     state.probes.clear()
     state.own_results.clear()
     state.foreign_results.clear()
@@ -324,7 +321,6 @@
     state.ping_at = now
     state.domain_ping_at = now
     for domain in state.view.domains.values():
-        domain.beat_at = now
         domain.misses = 0
     if pause > FORGET_MS:
         _forget_others(state, now)
@@ -376,7 +372,7 @@
     state.seeds |= set(state.random.sample(known, count))
     state.changed_instances.update(dict.fromkeys(state.view.entries))
     state.view = View()
-    state.view.put(state.entry, now)
+    state.view.put(state.entry)
     state.marks = None
     for kept in (state.gossip, state.suspects, state.tombstones):
         kept.clear()
--- a/src/jasmineramp/membership_sync.py
+++ b/src/jasmineramp/membership_sync.py
@@ -28,9 +28,8 @@
 def compare_marks(
     state: MembershipState,
     marks: Iterable[DomainMark],
-    now: Millis,
 ) -> list[DomainId]:
-    """Take over newer beats and return the domains that differ."""
+    """Return the domains whose digests differ."""
     differing = []
     domains = state.view.domains
     for mark in marks:
@@ -39,10 +38,6 @@
             if mark.digest:
                 differing.append(mark.domain)
             continue
-        if mark.beat > domain.beat:
-            domain.beat = mark.beat
-            domain.beat_at = now
-            state.marks = None
         if mark.digest != domain.digest:
             differing.append(mark.domain)
     return differing
--- a/src/jasmineramp/membership_view.py
+++ b/src/jasmineramp/membership_view.py
@@ -48,13 +48,11 @@
 class DomainView:
     """Hold what a node knows about a failure domain."""
 
-    __slots__ = ('available', 'beat', 'beat_at', 'digest', 'members', 'misses')
+    __slots__ = ('available', 'digest', 'members', 'misses')
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         self.members: list[NodeId] = []
         self.digest = 0
-        self.beat = 0
-        self.beat_at = now
         self.misses = 0
         self.available = True
 
@@ -67,21 +65,21 @@
         self.domains: dict[DomainId, DomainView] = {}
         self.member_count = 0
 
-    def put(self, entry: NodeEntry, now: float) -> None:
+    def put(self, entry: NodeEntry) -> None:
         """Store an entry that replaces the known one."""
         known = self.entries.get(entry.node)
         if known is not None:
-            self._toggle(known, now, is_new=False)
+            self._toggle(known, is_new=False)
         self.entries[entry.node] = entry
-        self._toggle(entry, now, is_new=True)
+        self._toggle(entry, is_new=True)
 
     def put_revision(self, entry: NodeEntry) -> None:
         """Store an entry that differs in the revision only."""
         self.entries[entry.node] = entry
 
-    def forget(self, node: NodeId, now: float) -> None:
+    def forget(self, node: NodeId) -> None:
         """Remove an entry."""
-        self._toggle(self.entries.pop(node), now, is_new=False)
+        self._toggle(self.entries.pop(node), is_new=False)
 
     def members(self, domain: DomainId) -> list[NodeId]:
         """Return the sorted ids of the members of a domain."""
@@ -91,14 +89,14 @@
     def marks(self) -> tuple[DomainMark, ...]:
         """Summarize every domain."""
         return tuple(
-            DomainMark(name, found.beat, found.digest)
+            DomainMark(name, found.digest)
             for name, found in self.domains.items()
         )
 
-    def _toggle(self, entry: NodeEntry, now: float, *, is_new: bool) -> None:
+    def _toggle(self, entry: NodeEntry, *, is_new: bool) -> None:
         domain = self.domains.get(entry.domain)
         if domain is None:
-            domain = DomainView(now)
+            domain = DomainView()
             self.domains[entry.domain] = domain
         if not is_member(entry):
             return
