Let nodes of a failure domain point out domains that they miss

Cause: each node found out on its own turn that a failure domain had been cut off. Pings and acks now name unavailable domains; a node of the same domain checks them itself. The pings moved to a module of their own.

--- a/src/jasmineramp/membership.py
+++ b/src/jasmineramp/membership.py
@@ -14,11 +14,8 @@
     NodeEntry,
     Upstream,
 )
-from jasmineramp.membership_probes import (
-    MISSES_UNTIL_UNREACHABLE,
-    handle,
-    run_timers,
-)
+from jasmineramp.membership_pings import MISSES_UNTIL_UNREACHABLE
+from jasmineramp.membership_probes import handle, run_timers
 from jasmineramp.membership_state import (
     MembershipState,
     notice_pause,
--- a/src/jasmineramp/membership_messages.py
+++ b/src/jasmineramp/membership_messages.py
@@ -79,13 +79,17 @@
 
 
 class Ping(Message, frozen=True):
-    """Ask for an Ack; an empty target means whoever has the address."""
+    """Ask for an Ack; an empty target means whoever has the address.
+
+    Unavailable domains are those that the sender fails to reach.
+    """
 
     target: NodeId
     sequence: int
     entry: NodeEntry
     marks: tuple[DomainMark, ...]
     changes: tuple[NodeEntry, ...] = ()
+    unavailable: tuple[DomainId, ...] = ()
 
 
 class Ack(Message, frozen=True):
@@ -96,6 +100,7 @@
     entry: NodeEntry
     marks: tuple[DomainMark, ...]
     changes: tuple[NodeEntry, ...] = ()
+    unavailable: tuple[DomainId, ...] = ()
 
 
 class PingRequest(Message, frozen=True):
--- a/src/jasmineramp/membership_probes.py
+++ b/src/jasmineramp/membership_probes.py
@@ -14,10 +14,18 @@
     EntryRequest,
     MembershipMessage,
     MemberStatus,
-    NodeEntry,
     Ping,
     PingRequest,
 )
+from jasmineramp.membership_pings import (
+    ack,
+    check_domains,
+    miss_domain,
+    note_answer,
+    ping,
+    ping_domain,
+    ping_unavailable,
+)
 from jasmineramp.membership_state import (
     MembershipState,
     Probe,
@@ -29,7 +37,6 @@
     record_result,
     release,
     replace_entry,
-    take_changes,
 )
 from jasmineramp.membership_sync import (
     answer_digest,
@@ -48,7 +55,6 @@
 PROBE_MS = 1_000
 INDIRECT_PINGS = 2
 CONTACT_ROUNDS = 10
-MISSES_UNTIL_UNREACHABLE = 3
 
 
 def run_timers(state: MembershipState, now: Millis) -> list[Effect]:
@@ -60,8 +66,8 @@
         effects.extend(_ping_members(state, now))
     if now >= state.domain_ping_at:
         state.domain_ping_at = now + DOMAIN_PING_MS
-        effects.extend(_ping_domain(state, now))
-        effects.extend(_ping_unavailable(state, now))
+        effects.extend(ping_domain(state, now))
+        effects.extend(ping_unavailable(state, now))
     if state.probes:
         effects.extend(_judge_probes(state, now))
     if state.suspects:
@@ -92,8 +98,9 @@
         return []
     effects = merge(state, (message.entry, *message.changes), now)
     peer = message.entry.node
-    _note_answer(state, message.entry)
-    effects.append(SendMessage(peer, _ack(state, peer, message.sequence)))
+    note_answer(state, message.entry)
+    effects.extend(check_domains(state, message, now))
+    effects.append(SendMessage(peer, ack(state, peer, message.sequence)))
     return effects
 
 
@@ -111,13 +118,14 @@
     if probe is None:
         return effects
     state.answered_at = now
-    _note_answer(state, message.entry)
+    note_answer(state, message.entry)
+    effects.extend(check_domains(state, message, now))
     release(state, message.target)
     if probe.kind is not ProbeKind.contact:
         record_result(state, message.target, now, answered=True)
     if probe.relay is not None:
         requester, sequence = probe.relay
-        answer = _ack(state, requester, sequence, message.target)
+        answer = ack(state, requester, sequence, message.target)
         effects.append(SendMessage(requester, answer))
     if message.target == _lowest(state):
         state.reported = (message.target, probe.revision)
@@ -136,10 +144,10 @@
     now: Millis,
 ) -> list[Effect]:
     effects = merge(state, (message.entry,), now)
-    ping = _ping(state, message.target, ProbeKind.relay, now)
+    relayed = ping(state, message.target, ProbeKind.relay, now)
     relay = (message.entry.node, message.sequence)
     state.probes[state.sequence].relay = relay
-    return [*effects, ping]
+    return [*effects, relayed]
 
 
 @handle.register
@@ -172,40 +180,6 @@
     return take_entries(state, sender, message, now)
 
 
-def _ping(
-    state: MembershipState,
-    target: NodeId,
-    kind: ProbeKind,
-    now: Millis,
-) -> SendMessage:
-    state.sequence += 1
-    probe = Probe(target, kind, now, state.entry.revision)
-    state.probes[state.sequence] = probe
-    message = Ping(
-        NodeId('') if kind is ProbeKind.contact else target,
-        state.sequence,
-        state.entry,
-        state.current_marks(),
-        take_changes(state, target),
-    )
-    return SendMessage(target, message)
-
-
-def _ack(
-    state: MembershipState,
-    peer: NodeId,
-    sequence: int,
-    target: NodeId | None = None,
-) -> Ack:
-    return Ack(
-        target or state.node,
-        sequence,
-        state.entry,
-        state.current_marks(),
-        take_changes(state, peer),
-    )
-
-
 def _ping_members(state: MembershipState, now: Millis) -> list[Effect]:
     state.rounds += 1
     targets = []
@@ -218,12 +192,12 @@
     if lowest not in {state.node, member} and state.reported != report:
         targets.append(lowest)
     effects: list[Effect] = [
-        _ping(state, target, ProbeKind.member, now) for target in targets
+        ping(state, target, ProbeKind.member, now) for target in targets
     ]
     if not targets or state.rounds % CONTACT_ROUNDS == 0:
         contact = _choose_contact(state)
         if contact is not None:
-            effects.append(_ping(state, contact, ProbeKind.contact, now))
+            effects.append(ping(state, contact, ProbeKind.contact, now))
     return effects
 
 
@@ -255,40 +229,6 @@
     return state.contact_ring.pop() if state.contact_ring else None
 
 
-def _ping_domain(state: MembershipState, now: Millis) -> list[Effect]:
-    domains = state.view.domains
-    if not state.domain_ring:
-        state.domain_ring = [name for name in domains if name != state.domain]
-        state.random.shuffle(state.domain_ring)
-    while state.domain_ring:
-        members = state.view.members(state.domain_ring.pop())
-        if members:
-            target = state.random.choice(members)
-            return [_ping(state, target, ProbeKind.domain, now)]
-    return []
-
-
-def _ping_unavailable(state: MembershipState, now: Millis) -> list[Effect]:
-    # A domain that returns is found sooner than by its turn.
-    names = [
-        name
-        for name, domain in state.view.domains.items()
-        if domain.members and not domain.available and name != state.domain
-    ]
-    if not names:
-        return []
-    members = state.view.members(state.random.choice(names))
-    target = state.random.choice(members)
-    return [_ping(state, target, ProbeKind.domain, now)]
-
-
-def _note_answer(state: MembershipState, entry: NodeEntry) -> None:
-    domain = state.view.domains.get(entry.domain)
-    if domain is not None:
-        domain.misses = 0
-    release(state, entry.node)
-
-
 def _judge_probes(state: MembershipState, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
     for sequence, probe in list(state.probes.items()):
@@ -330,7 +270,7 @@
     if entry is None or not state.is_current or not is_member(entry):
         return []
     if probe.kind is ProbeKind.domain:
-        return _miss_domain(state, probe.target, now)
+        return miss_domain(state, probe.target, now)
     if probe.kind is not ProbeKind.member:
         return []
     record_result(state, probe.target, now, answered=False)
@@ -343,23 +283,7 @@
     effects = replace_entry(state, entry, suspected, now)
     enqueue(state, probe.target)
     # The suspect must hear of the suspicion before it is declared dead.
-    return [*effects, _ping(state, probe.target, ProbeKind.contact, now)]
-
-
-def _miss_domain(
-    state: MembershipState,
-    target: NodeId,
-    now: Millis,
-) -> list[Effect]:
-    name = state.view.entries[target].domain
-    domain = state.view.domains[name]
-    if domain.available:
-        record_result(state, target, now, answered=False)
-    domain.misses += 1
-    if domain.misses < MISSES_UNTIL_UNREACHABLE:
-        state.domain_ring.append(name)
-        return _ping_domain(state, now)
-    return []
+    return [*effects, ping(state, probe.target, ProbeKind.contact, now)]
 
 
 def _judge_suspects(state: MembershipState, now: Millis) -> list[Effect]:
--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -128,6 +128,7 @@
         self.foreign_results = Results()
         self.ring: list[NodeId] = []
         self.domain_ring: list[DomainId] = []
+        self.checked_domains: dict[DomainId, float] = {}
         self.contact_ring: list[NodeId] = []
         self.rounds = 0
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -31,7 +31,10 @@
     FORGET_MS,
     TOMBSTONE_MS,
     MembershipState,
+    enqueue,
+    take_changes,
 )
+from jasmineramp.membership_sync import start_sync
 from jasmineramp.membership_view import join_entries
 
 TICK_MS = 50
@@ -351,7 +354,20 @@
         self.assertNotIn('a-0', network.alive('b-0'))
         network.heal()
         network.run(10_000)
-        self.assertEqual(network.alive('b-1'), sorted(network.states))
+        for observer in network.states:
+            self.assertEqual(network.alive(observer), sorted(network.states))
+
+    def test_isolated_node_soon_relies_on_itself_only(self) -> None:
+        network = Network({'a': 30, 'b': 4})
+        network.groups['a-0'] = 1
+        network.run(9_000)
+        self.assertEqual(network.alive('a-0'), ['a-0'])
+        suspects = [
+            entry
+            for entry in network.states['a-0'].view.entries.values()
+            if entry.status
+        ]
+        self.assertLess(len(suspects), 6)
 
     def test_isolated_rack_does_not_declare_the_rest_dead(self) -> None:
         network = Network({'a': 12, 'b': 4})
@@ -376,6 +392,49 @@
         for observer in network.states:
             self.assertEqual(len(network.alive(observer)), 10)
 
+    def test_whole_domain_is_missed_soon_by_all(self) -> None:
+        network = Network({f'd{number}': 4 for number in range(14)})
+        for number in range(4):
+            network.stop(f'd3-{number}')
+        network.run(13_000)
+        for state in network.states.values():
+            self.assertFalse(membership.is_available(state, DomainId('d3')))
+
+    def test_unavailable_domain_is_found_soon_after_its_return(self) -> None:
+        network = Network({f'd{number}': 2 for number in range(14)})
+        network.groups = {'d3-0': 1, 'd3-1': 1}
+        network.run(40_000)
+        network.heal()
+        network.run(3_000)
+        for state in network.states.values():
+            self.assertTrue(membership.is_available(state, DomainId('d3')))
+
+    def test_suspect_hears_of_the_suspicion_directly(self) -> None:
+        network = Network(SMALL)
+        network.stop('a-1')
+        network.sent.clear()
+        network.run(2_000)
+        told = [
+            message
+            for _, body in network.sent
+            if isinstance(message := network.decode(body), Ping)
+            and not message.target
+        ]
+        marks = {each.node: each.status for each in told[0].changes}
+        self.assertEqual(marks, {'a-1': MemberStatus.suspect})
+
+    def test_dead_sender_hears_that_it_was_declared_dead(self) -> None:
+        network = Network(SMALL)
+        ping = Ping(NodeId('a-0'), 1, network.entry('a-0', 'a-1'), ())
+        network.stop('a-1')
+        network.run(15_000)
+        effects = membership.receive(
+            network.states['a-0'], NodeId('a-1'), ping, Millis(network.now)
+        )
+        self.assertEqual(
+            [each.node for each in effects[0].message.changes], ['a-1']
+        )
+
     def test_domains_without_direct_contact_do_not_suspect(self) -> None:
         network = Network({'a': 3, 'b': 3, 'c': 3})
         network.cut_domains.add(frozenset({'a', 'b'}))
@@ -539,6 +598,27 @@
         network.run(6_000)
         self.assertEqual(len(network.alive('a-900')), 301)
         self.assertLess(max(len(body) for _, body in network.sent), 6_000)
+        self.assertLess(len(network.states['a-900'].gossip), 20)
+
+    def test_digests_and_changes_are_bounded_and_complete(self) -> None:
+        network = Network({'a': 300})
+        state = network.states['a-7']
+        now = Millis(network.now + 2_000)
+        lost = [NodeId(f'a-{number}') for number in range(100, 200)]
+        for node in lost:
+            state.view.forget(node)
+        effects = start_sync(state, NodeId('a-8'), [DomainId('a')], now)
+        sizes = [len(each.message.digests) for each in effects]
+        self.assertEqual(sizes, [128, 72])
+        self.assertEqual(
+            start_sync(state, NodeId('a-8'), [DomainId('a')], now), []
+        )
+        network.send('a-7', effects)
+        network.run(200)
+        self.assertEqual(len(state.view.members(DomainId('a'))), 300)
+        for node in lost:
+            enqueue(state, node)
+        self.assertEqual(len(take_changes(state, NodeId('a-8'))), 16)
 
     def test_idle_traffic_does_not_grow_with_the_fleet(self) -> None:
         rates = []
@@ -551,21 +631,25 @@
         self.assertLess(rates[1], rates[0] * 1.05)
 
     def test_revision_reaches_the_lowest_member_without_gossip(self) -> None:
-        network = Network({'a': 20, 'b': 2})
-        network.loss = 0.2
-        for state in network.states.values():
-            membership.set_revision(state, Revision(7))
-        network.run(6_000)
-        lowest = membership.lowest_alive(network.states['a-5'], DomainId('a'))
-        found = {
-            network.entry(str(lowest), name).revision
-            for name in network.states
-            if domain_of(name) == 'a'
-        }
-        self.assertEqual(found, {7})
-        self.assertEqual(
-            membership.newest_revision(network.states['b-0'])[0], 7
-        )
+        network = Network({'a': 60, 'b': 2})
+        for revision, loss in ((7, 0), (8, 0.2)):
+            network.loss = loss
+            for state in network.states.values():
+                membership.set_revision(state, Revision(revision))
+            network.run(4_000)
+            if not loss:
+                self.assertFalse(network.states['a-5'].gossip)
+            lowest = membership.lowest_alive(
+                network.states['a-5'], DomainId('a')
+            )
+            found = {
+                network.entry(str(lowest), name).revision
+                for name in network.states
+                if domain_of(name) == 'a'
+            }
+            self.assertEqual(found, {revision})
+            newest = membership.newest_revision(network.states['b-0'])
+            self.assertEqual(newest[0], revision)
 
     def test_changes_report_every_difference_of_the_instances(self) -> None:
         network = Network(SMALL)
