--- a/src/jasmineramp/admission.py
+++ b/src/jasmineramp/admission.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from jasmineramp.clock import Millis, later
+from jasmineramp.clock import ORIGIN, Millis, later
 from jasmineramp.fair_queue import Entry, FairQueue, QueuedCall
 from jasmineramp.ids import CallId, Importance, NodeId, ServiceName
 from jasmineramp.limits import (
@@ -22,6 +22,7 @@
 SHED_FILL = 0.75
 SHED_VALIDITY = 1000
 PROBE_INTERVAL = 50
+MILLIS_PER_SECOND = 1000
 
 
 class Decision(msgspec.Struct, frozen=True, gc=False):
@@ -193,6 +194,14 @@
     return _dispatch(state, now)
 
 
+def capacity(state: AdmissionState) -> float:
+    """Return the calls a second at full use, 0 when it is not known."""
+    overall = state.service_times.overall
+    if overall.updated == ORIGIN or overall.mean <= 0:
+        return 0
+    return state.limiter.limit / overall.mean * MILLIS_PER_SECOND
+
+
 def shed_level(state: AdmissionState, now: Millis) -> Importance:
     """Return the importance below which calls are currently refused.
 
--- a/src/jasmineramp/hops.py
+++ b/src/jasmineramp/hops.py
@@ -197,10 +197,11 @@
     """Return the load that goes back with an answer."""
     queue = state.admission
     if queue is None:
-        return LoadReport(0, LEAST_IMPORTANCE)
+        return LoadReport(shed_level=LEAST_IMPORTANCE)
     return LoadReport(
-        len(queue.queue.entries),
-        admission.shed_level(queue, now),
+        queued=len(queue.queue.entries),
+        capacity=admission.capacity(queue),
+        shed_level=admission.shed_level(queue, now),
     )
 
 
--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -11,7 +11,6 @@
 from jasmineramp.effects import Effect, EventKind, RecordEvent
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.membership_messages import (
-    DomainMark,
     MemberStatus,
     NodeEntry,
 )
@@ -23,8 +22,6 @@
 )
 
 SUSPECT_MS = 3_000
-# Other failure domains wait for the verdict of the suspect's own domain.
-FOREIGN_SUSPECT_MS = 6_000
 TOMBSTONE_MS = 24 * 3_600_000
 GOSSIP_FACTOR = 1
 MAXIMUM_CHANGES = 16
@@ -116,13 +113,12 @@
         self.seeds = set(seeds) - {entry.address}
         self.random = rng
         self.view = View()
-        self.view.put(entry, now)
+        self.view.put(entry)
         self.gossip: dict[NodeId, int] = {}
         self.suspects: dict[NodeId, float] = {}
         self.held: set[NodeId] = set()
         self.tombstones: dict[NodeId, float] = {}
         self.changed_instances: dict[NodeId, None] = {}
-        self.marks: tuple[DomainMark, ...] | None = None
 
         self.sequence = 0
         self.probes: dict[int, Probe] = {}
@@ -130,6 +126,7 @@
         self.foreign_results = Results()
         self.ring: list[NodeId] = []
         self.domain_ring: list[DomainId] = []
+        self.checked_domains: dict[DomainId, float] = {}
         self.contact_ring: list[NodeId] = []
         self.rounds = 0
 
@@ -144,7 +141,6 @@
         self.newest_revision = (entry.revision, entry.node)
 
         self.is_current = not self.seeds
-        self.confirm_after = 0
         self.confirm_until = now + CONFIRM_MS
 
     @property
@@ -157,17 +153,12 @@
         """Return the failure domain of this node."""
         return self.entry.domain
 
-    def current_marks(self) -> tuple[DomainMark, ...]:
-        """Return the summary of every domain.
+    def digest(self) -> int | None:
+        """Return the digest of the view once the view is confirmed.
 
-        Nothing is returned before the view is confirmed: two nodes that
-        were paused together must not confirm each other.
+        Two nodes that were paused together must not confirm each other.
         """
-        if not self.is_current:
-            return ()
-        if self.marks is None:
-            self.marks = self.view.marks()
-        return self.marks
+        return self.view.digest if self.is_current else None
 
 
 def merge(
@@ -206,15 +197,14 @@
 ) -> list[Effect]:
     """Store a changed entry and start or stop its timers."""
     node = entry.node
-    state.view.put(entry, now)
-    state.marks = None
+    state.view.put(entry)
     state.changed_instances[node] = None
     state.suspects.pop(node, None)
     state.held.discard(node)
-    if entry.status is MemberStatus.suspect:
-        is_own = entry.domain == state.domain
-        patience = SUSPECT_MS if is_own else FOREIGN_SUSPECT_MS
-        state.suspects[node] = now + patience
+    is_suspect = entry.status is MemberStatus.suspect
+    # Other failure domains wait for the verdict of the suspect's own one.
+    if is_suspect and entry.domain == state.domain:
+        state.suspects[node] = now + SUSPECT_MS
     if is_member(entry):
         state.tombstones.pop(node, None)
     else:
@@ -235,8 +225,7 @@
         version=state.entry.version + 1,
         **fields,
     )
-    state.view.put(state.entry, now)
-    state.marks = None
+    state.view.put(state.entry)
     state.changed_instances[state.node] = None
     enqueue(state, state.node)
 
@@ -312,8 +301,8 @@
         return
     state.ticked_at = now
     state.is_current = False
-    state.confirm_after = state.sequence
     state.confirm_until = now + CONFIRM_MS
+    # Late answers to pings from before the pause confirm nothing.
     state.probes.clear()
     state.own_results.clear()
     state.foreign_results.clear()
@@ -324,7 +313,6 @@
     state.ping_at = now
     state.domain_ping_at = now
     for domain in state.view.domains.values():
-        domain.beat_at = now
         domain.misses = 0
     if pause > FORGET_MS:
         _forget_others(state, now)
@@ -376,8 +364,7 @@
     state.seeds |= set(state.random.sample(known, count))
     state.changed_instances.update(dict.fromkeys(state.view.entries))
     state.view = View()
-    state.view.put(state.entry, now)
-    state.marks = None
+    state.view.put(state.entry)
     for kept in (state.gossip, state.suspects, state.tombstones):
         kept.clear()
     state.held.clear()
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -9,7 +9,13 @@
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
-from jasmineramp.routing_targets import SLOW_START_MS, Pool, Service, Target
+from jasmineramp.routing_targets import (
+    SLOW_START_MS,
+    Pool,
+    Service,
+    Target,
+    weigh,
+)
 
 # A node that has just started sees every instance for the first time; these
 # instances are not cold.
@@ -18,6 +24,8 @@
 SPARE_REFRESH_MS = 100
 SAMPLING_ATTEMPTS = 6
 PROBE_RATIO = 0.02
+CAPACITY_CHANGE = 0.1
+REWEIGH_MS = 500
 
 # Four consecutive failures of a sound instance pass the ejection rate.
 FAILURE_SMOOTHING = 0.2
@@ -161,7 +169,7 @@
     if incarnation not in {None, target.instance.incarnation}:
         return
     if load is not None:
-        _take_report(target, load, now)
+        _take_report(service, target, load, now)
     if outcome is CallOutcome.succeeded:
         target.failure_rate -= FAILURE_SMOOTHING * target.failure_rate
         service.failure_rate -= (
@@ -317,6 +325,7 @@
     ejected.sort(key=lambda each: each.ejected_until)
     while len(ejected) * 2 > len(ready):
         ejected.pop(0).ejected_until = 0
+    weigh(ready)
     by_domain: dict[DomainId, list[Target]] = {}
     for target in ready:
         if now >= target.ejected_until:
@@ -331,12 +340,21 @@
     )
 
 
-def _take_report(target: Target, load: LoadReport, now: Millis) -> None:
+def _take_report(
+    service: Service,
+    target: Target,
+    load: LoadReport,
+    now: Millis,
+) -> None:
     # A misleading report must not keep an instance idle for long or attract
     # every call: it is bounded by the slots and valid for a short time.
     target.queued = min(max(load.queued, 0), target.slots)
     if not load.healthy:
         target.queued = max(target.queued, 1)
+    change = abs(load.capacity - target.capacity)
+    if load.capacity > 0 and change > CAPACITY_CHANGE * target.capacity:
+        target.capacity = load.capacity
+        service.rebuild_at = min(service.rebuild_at, now + REWEIGH_MS)
     target.shed_level = load.shed_level
     target.report_until = now + REPORT_VALID_MS
 
