--- a/tests/test_operator_http.py
+++ b/tests/test_operator_http.py
@@ -10,7 +10,7 @@
 
 import waitress.server
 
-from jasmineramp import explain_command, timeline_command
+from jasmineramp import explain_command, table_command, timeline_command
 from jasmineramp.operator_http import NodeStatus, OperatorApplication
 from jasmineramp.refusal_counts import RefusalCounts, count, summarize
 from jasmineramp.refusals import Refusal, RefusalCode
@@ -172,6 +172,16 @@
         self.assertEqual(self.run_command(main, '--last', 'soon')[0], 2)
         self.assertEqual(self.run_command(main, '--form', 'pdf')[0], 2)
 
+    def test_drain_reaches_the_named_node_only(self) -> None:
+        with (
+            contextlib.redirect_stdout(io.StringIO()) as out,
+            self.assertRaises(SystemExit) as caught,
+        ):
+            table_command.main(['drain', self.addresses[1]])
+        self.assertEqual(caught.exception.code, 0)
+        self.assertIn('is draining', out.getvalue())
+        self.assertEqual([view.drained for view in self.views], [0, 1])
+
     def test_explains_a_request(self) -> None:
         refusal = Refusal(
             RefusalCode.rate_exceeded,
@@ -198,6 +208,8 @@
             explain_command.main,
             'workspace',
             'studio',
+            '--last',
+            '30s',
             '--json',
             missing=True,
         )
