--- /dev/null
+++ b/src/jasmineramp/metrics.py
@@ -0,0 +1,70 @@
+"""Send the metrics of a node to statsd; docs/operating.md lists them."""
+
+from typing import Protocol
+
+import statsd
+
+from jasmineramp.clock import Clock
+from jasmineramp.refusals import Refusal, RefusalCode
+
+PREFIX = 'jasmineramp'
+# A call refused for these reasons had passed the rate of its workspace.
+WITHIN_RATE = frozenset((
+    RefusalCode.overloaded,
+    RefusalCode.overloaded_downstream,
+    RefusalCode.no_upstream,
+    RefusalCode.upstream_lost,
+    RefusalCode.deadline_exceeded,
+    RefusalCode.claims_unavailable,
+))
+
+
+class Sink(Protocol):
+    """Take metrics without blocking."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Add to a counter."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Record a time in milliseconds."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Set a gauge."""
+
+
+class NoSink:
+    """Drop all metrics."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Drop a counter."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Drop a time."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Drop a gauge."""
+
+
+def open_sink(host: str, port: int) -> Sink:
+    """Return a sink that sends UDP datagrams to statsd."""
+    sink: Sink = statsd.StatsClient(host, port, prefix=PREFIX)
+    return sink
+
+
+class CallMetrics:
+    """Count calls and their ends; the number of names is bounded."""
+
+    def __init__(self, sink: Sink, clock: Clock) -> None:
+        self.sink = sink
+        self.clock = clock
+
+    def finish(self, started: float) -> None:
+        """Count an answered call that entered here; times in ms."""
+        self.sink.incr('calls.answered')
+        self.sink.timing('calls.time', self.clock.now() - started)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Count a refused call that entered here."""
+        self.sink.incr(f'calls.refused.{refusal.code.value}')
+        if refusal.code in WITHIN_RATE:
+            self.sink.incr('calls.refused_within_rate')
