Fix ends of calls that leaked slots, claims or a false not run

Callers that left while their call waited or ran on the own instance kept its slot and counted its end twice.

--- a/src/jasmineramp/call_attempts.py
+++ b/src/jasmineramp/call_attempts.py
@@ -9,9 +9,11 @@
     CancelCall,
     Decide,
     Deliver,
+    Refused,
     RetryLater,
 )
 from jasmineramp.calls import charge, refuse_repeat, route, take_rate
+from jasmineramp.claim_messages import ClaimEnd
 from jasmineramp.clock import Millis
 from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
 from jasmineramp.ids import CallId
@@ -25,6 +27,9 @@
     AttemptKind.refused: routing.CallOutcome.shed,
     AttemptKind.cancelled: routing.CallOutcome.cancelled,
 }
+_BROKEN = frozenset(
+    (AttemptKind.cancelled, AttemptKind.timed_out, AttemptKind.lost),
+)
 _FAILURES = {
     AttemptKind.shed: Refusal(RefusalCode.overloaded, RunState.unknown),
     AttemptKind.unreachable: Refusal(RefusalCode.upstream_lost),
@@ -44,12 +49,14 @@
 ) -> list[Effect]:
     """Deliver the answer of an attempt, retry it or refuse the call."""
     call = state.calls.get(event.call_id)
-    if call is None or call.instance is None:
+    if call is None:
+        return _answer_closed(event.call_id)
+    if call.instance is None:
         return []
     attempt = event.attempt
     effects: list[Effect] = []
     if call.instance.node == state.node:
-        effects += hops.finish(state, call.attempt_id, attempt, now)
+        effects += end_run(state, call.attempt_id, attempt, now)
     _observe(state, call, attempt, now)
     if attempt.kind is AttemptKind.answered:
         close(state, call)
@@ -58,6 +65,32 @@
     return effects + _plan_retry(state, call, attempt, now)
 
 
+def end_run(
+    state: NodeState,
+    call_id: CallId,
+    attempt: Attempt,
+    now: Millis,
+) -> list[Effect]:
+    """End a run on the own instance; a broken one ends its onward calls.
+
+    The service may keep the connections of its onward calls open.
+    """
+    running = state.running.get(call_id)
+    effects = hops.finish(state, call_id, attempt, now)
+    if running is None or attempt.kind not in _BROKEN:
+        return effects
+    for onward in sorted(running.onward):
+        effects += leave(state, onward, now)
+        effects += _answer_closed(onward)
+    return effects
+
+
+def _answer_closed(call_id: CallId) -> list[Effect]:
+    """Answer whoever still waits for a call that was given up."""
+    refusal = Refusal(RefusalCode.cancelled, RunState.unknown)
+    return [Decide(call_id, Refused(refusal))]
+
+
 def decide_retry(
     state: NodeState,
     retry: Retry,
@@ -75,7 +108,9 @@
 def retry(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
     """Start the next attempt of a call after its delay."""
     call = state.calls.get(call_id)
-    return [] if call is None else route(state, call, now)
+    if call is None:
+        return _answer_closed(call_id)
+    return route(state, call, now)
 
 
 def leave(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
@@ -85,17 +120,24 @@
         return []
     close(state, call)
     effects = idempotency.withdraw(state.claims, call_id, now)
+    cancelled = Attempt(AttemptKind.cancelled)
     instance = call.instance
-    if instance is None:
-        return effects
-    if instance.node == state.node:
+    runs = call.may_have_run
+    if instance is not None and instance.node == state.node:
         effects += hops.cancel(state, call.attempt_id, now)
-    else:
+        if call.attempt_id in state.running:
+            # The thread of the call has gone, so nobody reports its end.
+            runs = True
+            effects += end_run(state, call.attempt_id, cancelled, now)
+    elif instance is not None:
+        runs = True
         cancel = CancelCall(call.attempt_id)
         effects.append(SendMessage(instance.node, cancel))
-    cancelled = Attempt(AttemptKind.cancelled)
     _observe(state, call, cancelled, now)
-    return effects + finish_claim(state, call, cancelled, now)
+    if runs or not call.claimed:
+        return effects + finish_claim(state, call, cancelled, now)
+    end = ClaimEnd.not_run
+    return effects + idempotency.finish(state.claims, call_id, end, now)
 
 
 def _observe(
@@ -107,6 +149,7 @@
     instance = call.instance
     if instance is None:
         return
+    call.instance = None
     routing.observe(
         state.routing,
         instance.node,
@@ -124,6 +167,8 @@
     now: Millis,
 ) -> list[Effect]:
     refusal = attempt.refusal or _FAILURES[attempt.kind]
+    if refusal.run is not RunState.not_run:
+        call.may_have_run = True
     service = call.header.service
     failed = FailedCall(
         attempt=call.attempts,
--- a/src/jasmineramp/call_endings.py
+++ b/src/jasmineramp/call_endings.py
@@ -1,5 +1,7 @@
 """End calls: refuse them, close their ledger and settle their claim."""
 
+import msgspec
+
 from jasmineramp import idempotency, retries
 from jasmineramp.call_messages import (
     Attempt,
@@ -27,6 +29,9 @@
     now: Millis,
 ) -> list[Effect]:
     """Refuse a call; a claim is released only if the call did not run."""
+    if call.may_have_run and refusal.run is RunState.not_run:
+        # An earlier attempt may have run, whatever ended the last one.
+        refusal = msgspec.structs.replace(refusal, run=RunState.unknown)
     close(state, call)
     effects: list[Effect] = []
     if call.claimed:
@@ -55,6 +60,10 @@
     """Forget a call; its request ends with its first call."""
     state.calls.pop(call.arrived.call_id, None)
     state.parked.pop(call.arrived.call_id, None)
+    if call.arrived.context is not None:
+        running = state.contexts.get(call.arrived.context)
+        if running is not None:
+            running.onward.discard(call.arrived.call_id)
     if call.header.hop == 0:
         retries.close_request(state.retries, call.header.request_id)
 
--- a/src/jasmineramp/calls.py
+++ b/src/jasmineramp/calls.py
@@ -15,6 +15,7 @@
 from jasmineramp.effects import Effect, SendMessage
 from jasmineramp.ids import (
     CallId,
+    IdempotencyKey,
     Importance,
     KeyDigest,
     RequestId,
@@ -117,11 +118,14 @@
         weight=parent.weight,
         remaining=deadline - now,
         entry=parent.entry,
-        revision=state.configuration.revision,
+        # A node that is behind the sender of the parent does not know a key
+        # that was granted since.
+        revision=max(parent.revision, state.configuration.revision),
         key=parent.key,
     )
     call = EntryCall(event, header, row, Millis(deadline))
     state.calls[event.call_id] = call
+    running.onward.add(event.call_id)
     onward = retries.Fingerprint(event.fingerprint)
     if retries.is_repeat(state.retries, running.context, onward):
         call.asks_repeat = True
@@ -209,9 +213,9 @@
 
 
 def _claim(state: NodeState, call: EntryCall, now: Millis) -> list[Effect]:
-    if call.row.idempotent or call.header.hop:
+    if call.row.idempotent:
         return route(state, call, now)
-    key = call.arrived.idempotency_key
+    key = _claim_key(call)
     if key is None:
         refusal = Refusal(
             RefusalCode.idempotency_key_missing,
@@ -229,6 +233,22 @@
     return idempotency.claim(state.claims, claim, now)
 
 
+def _claim_key(call: EntryCall) -> IdempotencyKey | None:
+    """Return the key that identifies the effect of a call.
+
+    A service that passes the key of its caller on means another effect, so
+    the row is part of the key. Without a key, the request and the content
+    identify an onward call, because a retry of the call that makes it
+    repeats it.
+    """
+    arrived = call.arrived
+    key = arrived.idempotency_key
+    if not call.header.hop:
+        return key
+    content = key or f'{call.header.request_id}\n{arrived.fingerprint.hex()}'
+    return IdempotencyKey(f'{call.row.name}\n{content}')
+
+
 def decide_claim(
     state: NodeState,
     decided: ClaimDecided,
@@ -269,6 +289,9 @@
             column='timeout_ms',
         )
         return refuse(state, call, refusal, now)
+    if hops.is_withdrawn(state, call.header):
+        refusal = Refusal(RefusalCode.key_unknown, row=call.header.workspace)
+        return refuse(state, call, refusal, now)
     if not call.attempts and not routing.admits(
         state.routing,
         service,
--- a/src/jasmineramp/hops.py
+++ b/src/jasmineramp/hops.py
@@ -42,6 +42,9 @@
     now: Millis,
 ) -> list[Effect]:
     """Adopt an announcement of the own upstream."""
+    if state.stopping:
+        # The node has left; an announcement must not bring it back.
+        return []
     effects = membership.announce(state.membership, upstream, now)
     before = state.upstream
     state.upstream = upstream
@@ -57,6 +60,8 @@
             },
         ),
     )
+    if before is not None and before.service != upstream.service:
+        effects += _refuse_queued(state, now)
     if upstream.state is UpstreamState.draining:
         return effects + drain(state, now)
     if state.admission is None:
@@ -79,16 +84,34 @@
     return _apply(state, admission.drain(state.admission), now)
 
 
+def _refuse_queued(state: NodeState, now: Millis) -> list[Effect]:
+    """Refuse the calls that wait for the service of the old upstream."""
+    if state.admission is None:
+        return []
+    decisions = admission.withdraw(
+        state.admission,
+        lambda call: True,
+        now,
+        RefusalCode.draining,
+    )
+    return _apply(state, decisions, now)
+
+
 def arrive(state: NodeState, event: HopArrived, now: Millis) -> list[Effect]:
     """Admit a call that another node sends."""
     header = event.header
     if header.call_id in state.recent_hops:
         # The transport may repeat a message; the first one is answered.
+        # A call that was cancelled before it came needs no answer.
         return []
-    state.recent_hops[header.call_id] = None
+    _remember(state, header.call_id)
+    return offer(state, header, event.nonce, header.call_id, now)
+
+
+def _remember(state: NodeState, call_id: CallId) -> None:
+    state.recent_hops[call_id] = None
     if len(state.recent_hops) > RECENT_HOPS:
         state.recent_hops.popitem(last=False)
-    return offer(state, header, event.nonce, header.call_id, now)
 
 
 def offer(
@@ -104,6 +127,9 @@
     if queue is None or upstream is None or upstream.service != header.service:
         refusal = Refusal(RefusalCode.no_upstream, row=header.row)
         return [Decide(waiter, HopRefused(refusal, report_load(state, now)))]
+    if state.refuse_hops_at is not None and now >= state.refuse_hops_at:
+        refusal = Refusal(RefusalCode.draining, row=header.row)
+        return [Decide(waiter, HopRefused(refusal, report_load(state, now)))]
     if is_withdrawn(state, header):
         refusal = Refusal(RefusalCode.key_unknown, row=header.workspace)
         return [Decide(waiter, HopRefused(refusal, report_load(state, now)))]
@@ -129,13 +155,13 @@
 
 
 def is_withdrawn(state: NodeState, header: CallHeader) -> bool:
-    """Tell whether the key of a call was granted once and is no more.
+    """Tell whether the key of a call is no longer one of its workspace.
 
     A node that is behind may not know a key yet; it trusts the sender.
     """
     if not header.key or header.revision > state.configuration.revision:
         return False
-    return not state.keys.is_granted(header.key)
+    return state.keys.find_workspace(header.key) != header.workspace
 
 
 def finish(
@@ -160,6 +186,17 @@
     )
 
 
+def cancel_remote(
+    state: NodeState,
+    call_id: CallId,
+    now: Millis,
+) -> list[Effect]:
+    """Stop an attempt that another node gave up, also before it arrives."""
+    if call_id not in state.recent_hops:
+        _remember(state, call_id)
+    return cancel(state, call_id, now)
+
+
 def cancel(state: NodeState, call_id: CallId, now: Millis) -> list[Effect]:
     """Stop an attempt that nobody waits for."""
     if call_id in state.running:
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -138,7 +138,7 @@
     def stop(self) -> None:
         """Stop gracefully: finish calls, hand over, then close."""
         self.actor.tell(Delivery(StopRequested()))
-        self._wait_while(propagation.has_calls, self.settings.stop_after_ms)
+        self._wait_while(self._is_busy, self.settings.stop_after_ms)
         # The platform may be down; what a node holds lapses by itself.
         self._wait_while(propagation.holds_anything, HAND_OVER_MS)
         self.close()
@@ -170,6 +170,9 @@
         """Break the upstream connection of a running call."""
         self.upstream.cancel(call_id)
 
+    def _is_busy(self, state: NodeState) -> bool:
+        return propagation.is_busy(state, self.clock.now())
+
     def _wait_while(
         self,
         condition: Callable[[NodeState], bool],
--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -24,6 +24,8 @@
 from jasmineramp.table import Table
 
 REFRESH_MS = 200
+# Gossip of the stop reaches the nodes that send calls within this time.
+STOP_GRACE_MS = 2000
 
 
 def refresh(state: NodeState, now: Millis) -> list[Effect]:
@@ -116,7 +118,12 @@
         rates.set_limits(state.rates, limits, now)
         exchange.set_table(state.exchange, limits)
         membership.set_revision(state.membership, revision)
-        withdrawn = before.workspaces.keys() - state.keys.workspaces.keys()
+        granted = state.keys.workspaces
+        withdrawn = [
+            key
+            for key, workspace in before.workspaces.items()
+            if granted.get(key) != workspace
+        ]
         effects += _set_slots(state, table, now)
         effects += hops.withdraw_keys(state, frozenset(withdrawn), now)
     accepted = state.configuration.accepted
@@ -177,19 +184,26 @@
         return []
     state.stopping = True
     effects: list[Effect] = [RecordEvent(EventKind.node_stopping, {})]
-    effects += hops.drain(state, now)
+    # Other nodes send calls here until they hear of the stop. Refusing those
+    # would spend the retries of their requests.
+    grace = STOP_GRACE_MS if len(state.alive) > 1 else 0
+    state.refuse_hops_at = later(now, grace)
     effects += membership.leave(state.membership, now)
     effects += idempotency.stop(state.claims, now)
     return effects
 
 
-def has_calls(state: NodeState) -> bool:
-    """Tell whether a call is open on the node."""
+def is_busy(state: NodeState, now: Millis) -> bool:
+    """Tell whether a call is open on the node or may still be sent to it."""
+    if state.refuse_hops_at is not None and now < state.refuse_hops_at:
+        return True
     return bool(state.calls or state.running or state.pending_hops)
 
 
 def holds_anything(state: NodeState) -> bool:
-    """Tell whether a rate slot or a claim partition is left to hand over."""
+    """Tell whether slot, claim partition or outcome is left to hand over."""
     if state.slots is not None and not rate_slots.is_stopped(state.slots):
         return True
+    if state.claims.reports.has_open():
+        return True
     return idempotency.owns_any(state.claims)
--- a/src/jasmineramp/reducer.py
+++ b/src/jasmineramp/reducer.py
@@ -101,7 +101,7 @@
 
 @_reduce.register
 def _(event: HopEnded, state: NodeState, now: Millis) -> list[Effect]:
-    return hops.finish(state, event.call_id, event.attempt, now)
+    return call_attempts.end_run(state, event.call_id, event.attempt, now)
 
 
 @_reduce.register
@@ -214,7 +214,7 @@
     sender: NodeId,
     now: Millis,
 ) -> list[Effect]:
-    return hops.cancel(state, message.call_id, now)
+    return hops.cancel_remote(state, message.call_id, now)
 
 
 @_receive.register
@@ -234,9 +234,8 @@
     sender: NodeId,
     now: Millis,
 ) -> list[Effect]:
-    granted = retries.accept_answer(state.retries, message, now)
-    if granted is None:
-        return []
+    # A late answer ends the wait as none does; a second one finds no wait.
+    granted = retries.accept_answer(state.retries, message, now) or False
     retry = retries.Retry(message.call_id, message.attempt)
     return call_attempts.decide_retry(state, retry, now, granted=granted)
 
--- a/src/jasmineramp/state.py
+++ b/src/jasmineramp/state.py
@@ -50,15 +50,17 @@
     claimed: bool = False
     asks_repeat: bool = False
     failure: Attempt | None = None
+    may_have_run: bool = False
     delay: Millis = ORIGIN
 
 
 class RunningCall(msgspec.Struct):
-    """Hold a call that the own upstream runs."""
+    """Hold a call that the own upstream runs, and its open onward calls."""
 
     header: CallHeader
     deadline: Millis
     context: ContextToken
+    onward: set[CallId] = msgspec.field(default_factory=set)
 
 
 class PendingHop(msgspec.Struct):
@@ -115,6 +117,7 @@
         self.recent_hops: OrderedDict[CallId, None] = OrderedDict()
         self.charges: dict[Retry, CallId] = {}
         self.stopping = False
+        self.refuse_hops_at: Millis | None = None
         self.members: Members = make_members(node, (), {})
         self.alive: dict[NodeId, DomainId] = {}
         self.refresh_at = ORIGIN
