Free slots, connections and receivers after faults

Cause: reading the transports showed that urllib3 replaced the deadline of a call by its connect timeout of 1 s, that one connection per thread could exceed the connections an upstream announced, that a path with bytes over 127 kept a slot forever, that a fault in one message ended the receiver, that keys passed in a second Cookie header and under an escaped query name, and that the stop did not wait for responses that were still being sent.

--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -14,6 +14,7 @@
     CallerLeft,
     CancelRun,
     Decide,
+    TableLoaded,
 )
 from jasmineramp.clock import Clock
 from jasmineramp.effects import (
@@ -24,6 +25,7 @@
 )
 from jasmineramp.events import Event, Tick
 from jasmineramp.ids import CallId, NodeId
+from jasmineramp.logs import get_logger
 from jasmineramp.messages import Message
 from jasmineramp.reducer import reduce
 from jasmineramp.state import NodeState
@@ -31,6 +33,8 @@
 
 TICK_MS = 50
 
+_log = get_logger(__name__)
+
 Waiter = Callable[[CallDecision], None]
 _ResultT = TypeVar('_ResultT')
 
@@ -142,8 +146,21 @@
         self.dispatcher = dispatcher
 
     def on_receive(self, message: Any) -> Any:
-        """Apply one delivery."""
-        self.dispatcher.apply(message)
+        """Apply one delivery.
+
+        A fault in one event must not end the actor, which would end it for
+        all later events. A table from a file reports its fault at the start.
+        """
+        try:
+            self.dispatcher.apply(message)
+        except Exception as error:
+            if isinstance(message.event, TableLoaded):
+                raise
+            _log.exception(
+                'event_failed',
+                kind=type(message.event).__name__,
+                error=type(error).__name__,
+            )
 
 
 class Ticker:
--- a/src/jasmineramp/call_runner.py
+++ b/src/jasmineramp/call_runner.py
@@ -1,10 +1,10 @@
 """Run calls: apply an event for each step and move the bytes."""
 
+import contextlib
 import queue
 import secrets
 import threading
 import time
-from collections.abc import Callable
 from concurrent.futures import Executor
 from functools import singledispatchmethod
 
@@ -35,7 +35,7 @@
 from jasmineramp.ids import CallId
 from jasmineramp.peers import HopAnswer, HopRequest, PeerNetwork
 from jasmineramp.refusals import Refusal, RefusalCode, RunState
-from jasmineramp.upstreams import UpstreamClient, UpstreamResult
+from jasmineramp.upstreams import CallerCheck, UpstreamClient, UpstreamResult
 
 # How often a waiting thread looks whether its caller is still connected.
 POLL_SECONDS = 0.1
@@ -45,8 +45,8 @@
 _MILLIS_PER_SECOND = 1000
 
 CallResult = HttpResponse | Refusal
-CallerCheck = Callable[[], bool]
 
+_WITH_RESPONSE = frozenset((AttemptKind.answered, AttemptKind.shed))
 _response_decoder = msgspec.msgpack.Decoder(HttpResponse)
 
 
@@ -113,7 +113,9 @@
 
         def decide(decision: CallDecision) -> None:
             if isinstance(decision, RunHere):
-                self.executor.submit(self._run_hop, decision, message)
+                # During the shutdown the executor takes no more work.
+                with contextlib.suppress(RuntimeError):
+                    self.executor.submit(self._run_hop, decision, message)
             elif isinstance(decision, HopRefused):
                 attempt = Attempt(
                     AttemptKind.refused,
@@ -132,8 +134,12 @@
         """
         with self.lock:
             hop = self.hops.pop(message.call_id, None)
-        if hop is not None:
-            hop.answers.put(UpstreamResult(message.attempt, message.response))
+        if hop is None:
+            return
+        attempt = message.attempt
+        if message.response is None and attempt.kind in _WITH_RESPONSE:
+            attempt = Attempt(AttemptKind.lost)
+        hop.answers.put(UpstreamResult(attempt, message.response))
 
     def lose_link(self, address: str) -> None:
         """End the attempts that wait for a peer that disconnected."""
@@ -160,7 +166,9 @@
                 return decisions.get(timeout=POLL_SECONDS)
             except queue.Empty:
                 if progress.caller_left():
-                    return self._leave(progress)
+                    refusal = self._leave(progress)
+                    _end_unused(self.dispatcher, decisions)
+                    return refusal
 
     def _leave(self, progress: _Progress) -> Refusal:
         self.dispatcher.apply(Delivery(CallerLeft(progress.call_id)))
@@ -217,7 +225,15 @@
         decision: RunHere,
         progress: _Progress,
     ) -> CallDecision | CallResult:
-        result = self.upstream.run(decision, progress.request)
+        result = self.upstream.run(
+            decision,
+            progress.request,
+            progress.caller_left,
+        )
+        if result.attempt.kind is AttemptKind.cancelled:
+            event = HopEnded(decision.header.call_id, result.attempt)
+            self.dispatcher.apply(Delivery(event))
+            return self._leave(progress)
         return self._end_attempt(progress, result)
 
     @_follow.register
@@ -293,10 +309,17 @@
                     return None
 
     def _run_hop(self, decision: RunHere, message: HopRequest) -> None:
-        result = self.upstream.run(decision, message.request)
-        self.dispatcher.apply(
-            Delivery(HopEnded(decision.header.call_id, result.attempt))
-        )
+        try:
+            result = self.upstream.run(decision, message.request)
+        except Exception:
+            # Without this, a fault would keep the slot forever.
+            self._end_hop(message, UpstreamResult(Attempt(AttemptKind.lost)))
+            raise
+        self._end_hop(message, result)
+
+    def _end_hop(self, message: HopRequest, result: UpstreamResult) -> None:
+        ended = HopEnded(message.header.call_id, result.attempt)
+        self.dispatcher.apply(Delivery(ended))
         self._answer(message, result)
 
     def _answer(self, message: HopRequest, result: UpstreamResult) -> None:
@@ -306,9 +329,23 @@
             result.response,
         )
         if not self.network.send(message.answer_to, answer):
-            self.executor.submit(
-                self.network.send,
-                message.answer_to,
-                answer,
-                wait=True,
-            )
+            with contextlib.suppress(RuntimeError):
+                self.executor.submit(
+                    self.network.send,
+                    message.answer_to,
+                    answer,
+                    wait=True,
+                )
+
+
+def _end_unused(
+    dispatcher: Dispatcher,
+    decisions: 'queue.SimpleQueue[CallDecision]',
+) -> None:
+    """Free the slot of a run that was decided while its caller left."""
+    with contextlib.suppress(queue.Empty):
+        decision = decisions.get_nowait()
+        if isinstance(decision, RunHere):
+            unused = Attempt(AttemptKind.cancelled)
+            event = HopEnded(decision.header.call_id, unused)
+            dispatcher.apply(Delivery(event))
--- a/src/jasmineramp/credentials.py
+++ b/src/jasmineramp/credentials.py
@@ -1,6 +1,7 @@
 """Read the caller's key from a request and remove it everywhere."""
 
-from urllib.parse import parse_qsl, urlencode
+import re
+from urllib.parse import unquote_plus
 
 from jasmineramp.http_messages import Header
 
@@ -10,6 +11,10 @@
 COOKIE_KEY = 'api_key'
 _BEARER = 'bearer '
 _REMOVED = frozenset((KEY_HEADER, AUTHORIZATION))
+# A shorter key would also match texts that are not keys.
+_LEAST_KEY_LENGTH = 16
+# Several Cookie headers arrive as one, joined by commas.
+_COOKIE = re.compile(rf'(?:^|[;,])\s*{COOKIE_KEY}\s*=([^;,]*)')
 
 
 def find_key(headers: tuple[Header, ...], query: str) -> str | None:
@@ -23,45 +28,46 @@
             return text[len(_BEARER) :].strip()
         if lower == 'cookie':
             cookies = text
-    if QUERY_KEY in query:
-        for name, text in parse_qsl(query, keep_blank_values=True):
-            if name == QUERY_KEY:
-                return text
-    for part in cookies.split(';'):
-        name, _, text = part.strip().partition('=')
-        if name == COOKIE_KEY:
-            return text
-    return None
+    for part in query.split('&'):
+        name, _, text = part.partition('=')
+        if unquote_plus(name) == QUERY_KEY:
+            return unquote_plus(text)
+    found = _COOKIE.search(cookies)
+    return found.group(1).strip().strip('"') if found else None
 
 
-def strip_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
-    """Return the headers without any place that can hold a key."""
+def strip_headers(
+    headers: tuple[Header, ...],
+    key: str | None = None,
+) -> tuple[Header, ...]:
+    """Return the headers without any place that can hold a key.
+
+    A header that repeats the key, such as a Referer, is removed as well.
+    """
+    repeated = key if key and len(key) >= _LEAST_KEY_LENGTH else None
     kept: list[Header] = []
     for name, text in headers:
         lower = name.lower()
         if lower in _REMOVED:
             continue
-        if lower == 'cookie':
-            cookies = _strip_cookies(text)
-            if cookies:
-                kept.append((name, cookies))
-        else:
-            kept.append((name, text))
+        value = _strip_cookies(text) if lower == 'cookie' else text
+        if repeated is not None and repeated in value:
+            continue
+        if value or lower != 'cookie':
+            kept.append((name, value))
     return tuple(kept)
 
 
 def strip_query(query: str) -> str:
     """Return the query without the key; other parts stay as they are."""
-    if QUERY_KEY not in query:
-        return query
-    pairs = parse_qsl(query, keep_blank_values=True)
-    if all(name != QUERY_KEY for name, _ in pairs):
-        return query
-    return urlencode([pair for pair in pairs if pair[0] != QUERY_KEY])
+    parts = query.split('&')
+    kept = [
+        part
+        for part in parts
+        if unquote_plus(part.partition('=')[0]) != QUERY_KEY
+    ]
+    return query if len(kept) == len(parts) else '&'.join(kept)
 
 
 def _strip_cookies(text: str) -> str:
-    parts = [part.strip() for part in text.split(';')]
-    return '; '.join(
-        part for part in parts if part.partition('=')[0] != COOKIE_KEY
-    )
+    return _COOKIE.sub('', text).lstrip(';, ')
--- a/src/jasmineramp/gateway.py
+++ b/src/jasmineramp/gateway.py
@@ -1,11 +1,15 @@
 """Serve callers and the own upstream over HTTP."""
 
+import posixpath
 import secrets
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Annotated, Any, Literal
+from urllib.parse import unquote_to_bytes, urlsplit
 
 import msgspec
+from waitress.channel import HTTPChannel
+from waitress.task import ErrorTask, WSGITask
 
 from jasmineramp.authentication import digest_key
 from jasmineramp.call_messages import CallArrived
@@ -21,7 +25,7 @@
     ServiceName,
 )
 from jasmineramp.membership_messages import Upstream, UpstreamState
-from jasmineramp.refusals import Refusal, RefusalCode
+from jasmineramp.refusals import Refusal, RefusalCode, RunState
 from jasmineramp.retries import fingerprint
 from jasmineramp.upstreams import (
     CONTEXT_HEADER,
@@ -54,6 +58,55 @@
     state: Literal['starting', 'ready', 'draining'] = 'ready'
 
 
+class RefusalTask(ErrorTask):  # type: ignore[misc]
+    """Answer a request that can't be read with a typed refusal."""
+
+    def execute(self) -> None:
+        """Write the refusal and close the connection."""
+        status = self.request.error.code
+        code = RefusalCode.request_malformed
+        run = RunState.not_run
+        if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            code = RefusalCode.body_too_large
+        elif status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            code = RefusalCode.internal_error
+            run = RunState.unknown
+        refusal = Refusal(code, run)
+        body = b''.join(_send_refusal(refusal, self._start))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+    def _start(self, status: str, headers: list[Header]) -> None:
+        self.status = status
+        self.response_headers.extend(headers)
+
+
+class CallerTask(WSGITask):  # type: ignore[misc]
+    """Close kept-alive connections with the next response during a stop."""
+
+    def build_response_header(self) -> Any:
+        """Return the head of the response."""
+        if getattr(self.channel.server, 'stopping', False):
+            self.request.headers['CONNECTION'] = 'close'
+        return super().build_response_header()
+
+
+class CallerChannel(HTTPChannel):  # type: ignore[misc]
+    """Serve one connection of a caller."""
+
+    task_class = CallerTask
+    error_task_class = RefusalTask
+
+
+def is_busy(server: Any) -> bool:
+    """Tell whether a request runs or a response is not yet sent."""
+    return any(
+        channel.requests or channel.total_outbufs_len
+        for channel in list(server.active_channels.values())
+    )
+
+
 class Gateway:
     """Answer HTTP requests as a WSGI application."""
 
@@ -106,7 +159,13 @@
                 node=self.node,
             )
         query = environ['QUERY_STRING']
-        path = environ['REQUEST_URI'].partition('?')[0]
+        path = _read_path(environ)
+        if path is None:
+            return Refusal(
+                RefusalCode.request_malformed,
+                column='path',
+                node=self.node,
+            )
         kept_query = strip_query(query)
         target = f'{path}?{kept_query}' if kept_query else path
         method = environ['REQUEST_METHOD']
@@ -129,7 +188,7 @@
         )
         passed = tuple(
             pair
-            for pair in drop_hop_headers(strip_headers(headers))
+            for pair in drop_hop_headers(strip_headers(headers, key))
             if pair[0].lower() not in _OWN_HEADERS
         )
         return arrived, HttpRequest(method, target, passed, body)
@@ -173,6 +232,24 @@
         yield 'Content-Type', environ['CONTENT_TYPE']
 
 
+def _read_path(environ: Environ) -> str | None:
+    """Return the path to send upstream, or None if it can't be used.
+
+    The row is found by the decoded path. A path that the upstream could
+    read as another one would run under the wrong row, such as an open one.
+    """
+    path: str = environ['REQUEST_URI'].partition('?')[0]
+    if not path.startswith('/'):
+        path = urlsplit(path).path
+    decoded = unquote_to_bytes(path.encode('latin-1')).decode('latin-1')
+    if decoded != environ['PATH_INFO'] or not path.isascii():
+        return None
+    if '\\' in decoded or not decoded.isprintable():
+        return None
+    bare = decoded.rstrip('/') or '/'
+    return path if posixpath.normpath(decoded) == bare else None
+
+
 def _read_deadline(text: str | None) -> float | None:
     """Return ms, -1 without a deadline, None if it can't be read."""
     if text is None:
@@ -186,11 +263,17 @@
     start_response: StartResponse,
 ) -> Iterable[bytes]:
     headers = [
-        *response.headers,
+        *(
+            pair
+            for pair in response.headers
+            if pair[0].lower() not in _OWN_HEADERS
+        ),
         ('Content-Length', str(len(response.body))),
         (REQUEST_HEADER, call_id),
     ]
-    start_response(f'{response.status} {response.reason}', headers)
+    reason = ''.join(filter(str.isprintable, response.reason))
+    headers = [(name, ' '.join(text.split('\r\n'))) for name, text in headers]
+    start_response(f'{response.status} {reason}', headers)
     return [response.body]
 
 
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -1,6 +1,7 @@
 """Assemble a node and own everything that must be closed."""
 
 import contextlib
+import errno
 import random
 import secrets
 import threading
@@ -25,9 +26,13 @@
 from jasmineramp.configuration_state import ConfigurationState
 from jasmineramp.effects import CountRefusal, RecordEvent
 from jasmineramp.events import MessageReceived
-from jasmineramp.exceptions import AddressInUseError, MessageError
+from jasmineramp.exceptions import (
+    AddressInUseError,
+    MessageError,
+    SettingsError,
+)
 from jasmineramp.exchange import ExchangeState
-from jasmineramp.gateway import Gateway
+from jasmineramp.gateway import CallerChannel, Gateway, is_busy
 from jasmineramp.idempotency import ClaimState
 from jasmineramp.ids import CallId, NodeId, Revision
 from jasmineramp.logs import get_logger
@@ -53,6 +58,9 @@
 STORE_THREADS = 6
 OPERATOR_THREADS = 2
 IDLE_POLL_SECONDS = 0.05
+MILLIS_PER_SECOND = 1000
+# A caller on a kept-alive connection learns of the stop with a response.
+LINGER_MS = 1000
 # Loans end after 5 s; then the rate slot is given back.
 HAND_OVER_MS = 8000
 CALLER_CONNECTIONS = 2000
@@ -117,6 +125,7 @@
         self.store = HttpStore(settings.platform) if settings.platform else None
         self.records = NodeRecords(settings.node, self.clock)
         self.on_drain: Callable[[], None] = _do_nothing
+        self.http_servers: list[Any] = []
         try:
             self._assemble()
         except BaseException:
@@ -138,9 +147,14 @@
     def stop(self) -> None:
         """Stop gracefully: finish calls, hand over, then close."""
         self.actor.tell(Delivery(StopRequested()))
-        self._wait_while(propagation.has_calls, self.settings.stop_after_ms)
+        for server in self.http_servers:
+            server.stopping = True
+        linger_until = self.clock.now() + LINGER_MS
+        self._wait_while(self._has_work, self.settings.stop_after_ms)
         # The platform may be down; what a node holds lapses by itself.
         self._wait_while(propagation.holds_anything, HAND_OVER_MS)
+        time.sleep(max(0, linger_until - self.clock.now()) / MILLIS_PER_SECOND)
+        self._wait_while(self._has_work, LINGER_MS)
         self.close()
 
     def close(self) -> None:
@@ -170,6 +184,12 @@
         """Break the upstream connection of a running call."""
         self.upstream.cancel(call_id)
 
+    def _has_work(self, state: NodeState) -> bool:
+        """Tell whether a call is open or a response is not yet sent."""
+        return propagation.has_calls(state) or any(
+            is_busy(server) for server in self.http_servers
+        )
+
     def _wait_while(
         self,
         condition: Callable[[NodeState], bool],
@@ -252,8 +272,17 @@
                 max_request_body_size=self.settings.largest_body_bytes,
                 ident=None,
             )
-        except OSError:
-            raise AddressInUseError(address) from None
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                raise AddressInUseError(address) from None
+            raise SettingsError(
+                f'address {address}',
+                str(error),
+                'name an address of this machine',
+            ) from None
+        server.channel_class = CallerChannel
+        server.stopping = False
+        self.http_servers.append(server)
         self.stack.callback(server.close)
 
         def serve() -> None:
@@ -270,7 +299,8 @@
         executor.shutdown(wait=False, cancel_futures=True)
 
     def _announce(self, upstream: Upstream) -> None:
-        self.actor.tell(Delivery(UpstreamAnnounced(upstream)))
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor.tell(Delivery(UpstreamAnnounced(upstream)))
 
     def _take_message(self, sender: NodeId, message: Message) -> None:
         if isinstance(message, HopRequest):
--- a/src/jasmineramp/node_command.py
+++ b/src/jasmineramp/node_command.py
@@ -1,6 +1,7 @@
 """Run a node from its settings file."""
 
 import contextlib
+import os
 import pathlib
 import signal
 import sys
@@ -65,7 +66,8 @@
 
     def handle(number: int, frame: FrameType | None) -> None:
         if stop.is_set():
-            sys.exit(SECOND_SIGNAL_STATUS)
+            # sys.exit would wait for the threads that run calls.
+            os._exit(SECOND_SIGNAL_STATUS)
         stop.set()
 
     signal.signal(signal.SIGTERM, handle)
--- a/src/jasmineramp/peers.py
+++ b/src/jasmineramp/peers.py
@@ -10,7 +10,11 @@
 import pynng
 
 from jasmineramp.call_messages import Attempt, CallHeader
-from jasmineramp.exceptions import AddressInUseError, MessageError
+from jasmineramp.exceptions import (
+    AddressInUseError,
+    MessageError,
+    SettingsError,
+)
 from jasmineramp.http_messages import HttpRequest, HttpResponse
 from jasmineramp.ids import CallId, NodeId
 from jasmineramp.messages import Message
@@ -67,13 +71,13 @@
         """Return sender and message; raise MessageError if malformed."""
         try:
             envelope = self.envelopes.decode(frame)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise MessageError(str(error)) from None
         if envelope.version != PROTOCOL_VERSION:
             raise MessageError(f'protocol version {envelope.version}')
         try:
             message: Message = self.messages.decode(envelope.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise MessageError(str(error)) from None
         return envelope.sender, message
 
@@ -160,6 +164,12 @@
             )
         except pynng.exceptions.AddressInUse:
             raise AddressInUseError(address) from None
+        except pynng.NNGException as error:
+            raise SettingsError(
+                f'peer {address}',
+                str(error),
+                'name an address of this machine',
+            ) from None
         self.stack.callback(self._close_links)
         self.stack.callback(self.listener.close)
         self.thread = threading.Thread(
@@ -214,11 +224,12 @@
                 return
             self.received_bytes += len(frame)
             try:
-                sender, message = self.codec.decode(frame)
+                self.on_message(*self.codec.decode(frame))
             except MessageError as error:
                 self.on_error(error)
-                continue
-            self.on_message(sender, message)
+            except Exception as error:
+                # A fault in one message must not end the receiver.
+                self.on_error(MessageError(f'{type(error).__name__}: {error}'))
 
     def _close_links(self) -> None:
         with self.lock:
--- a/src/jasmineramp/refusal_advice.py
+++ b/src/jasmineramp/refusal_advice.py
@@ -52,6 +52,9 @@
         'raise timeout_ms in the row, or make the service faster'
     ),
     RefusalCode.cancelled: 'nothing; the caller left',
+    RefusalCode.internal_error: (
+        'report the error in the log; look up the result before a repeat'
+    ),
 }
 
 
--- a/src/jasmineramp/refusals.py
+++ b/src/jasmineramp/refusals.py
@@ -39,6 +39,7 @@
     upstream_lost = 'upstream_lost'
     deadline_exceeded = 'deadline_exceeded'
     cancelled = 'cancelled'
+    internal_error = 'internal_error'
 
 
 STATUS_BY_CODE = {
@@ -64,6 +65,7 @@
     RefusalCode.upstream_lost: 502,
     RefusalCode.deadline_exceeded: 504,
     RefusalCode.cancelled: 499,
+    RefusalCode.internal_error: 500,
 }
 
 
--- a/src/jasmineramp/upstreams.py
+++ b/src/jasmineramp/upstreams.py
@@ -3,11 +3,15 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable
 from http.client import HTTPException
+from http.client import HTTPResponse as PlainResponse
 from typing import NamedTuple
 
+import msgspec
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse as UpstreamAnswer
 
 from jasmineramp.call_messages import Attempt, AttemptKind, RunHere
 from jasmineramp.clock import Clock
@@ -18,12 +22,18 @@
 DEADLINE_HEADER = 'Jasmineramp-Deadline-Ms'
 REQUEST_HEADER = 'Jasmineramp-Request-Id'
 HOST = '127.0.0.1'
+# A larger response does not fit into one message to another node.
+LARGEST_RESPONSE_BYTES = 48 * 1024 * 1024
+# How often running calls are checked for their deadline and their caller.
+WATCH_SECONDS = 0.1
 
 _MILLIS_PER_SECOND = 1000
 _CONNECT_SECONDS = 1.0
 _LEAST_SECONDS = 0.001
 _SHED_STATUS = 503
-_FAILURES = (OSError, HTTPError, HTTPException)
+_READ_BYTES = 256 * 1024
+# ValueError covers requests that can't be encoded.
+_FAILURES = (OSError, HTTPError, HTTPException, ValueError)
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -36,9 +46,12 @@
         'transfer-encoding',
         'upgrade',
         'content-length',
+        'expect',
     )
 )
 
+CallerCheck = Callable[[], bool]
+
 
 class UpstreamResult(NamedTuple):
     """Hold how an attempt ended and the response, if there is one."""
@@ -47,88 +60,150 @@
     response: HttpResponse | None = None
 
 
+class _Run(msgspec.Struct):
+    """Hold a running call; broken says why its connection was broken."""
+
+    connection: HTTPConnection
+    deadline: float
+    caller_left: CallerCheck
+    broken: AttemptKind | None = None
+
+
+class _CheckedResponse(PlainResponse):
+    """Notice bytes that follow the end of the response."""
+
+    surplus = False
+
+    def _close_conn(self) -> None:
+        stream = self.fp
+        if stream is not None and not self.will_close:
+            # peek reads once when nothing is buffered; it must not wait.
+            raw = getattr(stream.raw, '_sock', None)
+            if raw is not None:
+                raw.settimeout(0)
+            with contextlib.suppress(OSError):
+                self.surplus = bool(stream.peek(1))
+        super()._close_conn()  # type: ignore[misc]
+
+
+def _stays() -> bool:
+    return False
+
+
 def drop_hop_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that concern more than one connection."""
     return tuple(pair for pair in headers if pair[0].lower() not in _HOP_BY_HOP)
 
 
 class UpstreamClient:
-    """Run calls on the own upstream, one connection per thread."""
+    """Run calls on the own upstream over a pool of connections.
+
+    No more connections are open than calls ran at the same time, which
+    keeps them within the connections that the upstream announced.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.local = threading.local()
         self.lock = threading.Lock()
-        self.busy: dict[CallId, HTTPConnection] = {}
-        self.opened: set[HTTPConnection] = set()
-        self.cancelled: set[CallId] = set()
+        self.busy: dict[CallId, _Run] = {}
+        self.idle: list[HTTPConnection] = []
+        self.closed = threading.Event()
+        self.watcher = threading.Thread(
+            target=self._watch,
+            name='upstream-watcher',
+            daemon=True,
+        )
+        self.watcher.start()
 
-    def run(self, decision: RunHere, request: HttpRequest) -> UpstreamResult:
+    def run(
+        self,
+        decision: RunHere,
+        request: HttpRequest,
+        caller_left: CallerCheck = _stays,
+    ) -> UpstreamResult:
         """Send a call and read its whole response before the deadline."""
         remaining = decision.deadline - self.clock.now()
         seconds = remaining / _MILLIS_PER_SECOND
         if seconds < _LEAST_SECONDS:
             return UpstreamResult(Attempt(AttemptKind.unreachable))
-        call_id = decision.header.call_id
         try:
-            connection = self._connect(decision.port)
+            connection = self._connect(decision.port, seconds)
         except _FAILURES:
             return UpstreamResult(Attempt(AttemptKind.unreachable))
+        run = _Run(connection, decision.deadline, caller_left)
+        call_id = decision.header.call_id
         with self.lock:
-            self.busy[call_id] = connection
+            self.busy[call_id] = run
         try:
-            return self._exchange(connection, decision, request, remaining)
-        except TimeoutError:
-            return self._fail(connection, AttemptKind.timed_out)
+            result = self._exchange(connection, decision, request)
         except _FAILURES as error:
-            kind = AttemptKind.lost
-            if _is_timeout(error):
-                kind = AttemptKind.timed_out
-            if call_id in self.cancelled:
-                kind = AttemptKind.cancelled
-            return self._fail(connection, kind)
+            timed_out = _is_timeout(error)
+            kind = AttemptKind.timed_out if timed_out else AttemptKind.lost
+            result = UpstreamResult(Attempt(kind))
         finally:
             with self.lock:
                 self.busy.pop(call_id, None)
-                self.cancelled.discard(call_id)
+        if run.broken is not None:
+            # The end of a broken connection can look like that of a body.
+            result = UpstreamResult(Attempt(run.broken))
+        if result.response is None:
+            # A late response must never be read by the next call.
+            connection.close()
+        return result
 
     def cancel(self, call_id: CallId) -> None:
         """Break the connection of a running call."""
         with self.lock:
-            connection = self.busy.get(call_id)
-            if connection is None:
-                return
-            self.cancelled.add(call_id)
-        sock = connection.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+            run = self.busy.get(call_id)
+            if run is not None:
+                _break(run, AttemptKind.cancelled)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close the idle connections and break those of running calls."""
+        self.closed.set()
         with self.lock:
-            opened = tuple(self.opened)
-            self.opened.clear()
-        for connection in opened:
+            idle = tuple(self.idle)
+            self.idle.clear()
+            for run in self.busy.values():
+                _break(run, AttemptKind.cancelled)
+        for connection in idle:
             connection.close()
 
-    def _connect(self, port: int) -> HTTPConnection:
-        connection: HTTPConnection | None = getattr(
-            self.local,
-            'connection',
-            None,
-        )
-        if connection is not None:
+    def watch(self) -> None:
+        """Break runs that are past their deadline or that nobody awaits.
+
+        The timeout of the socket starts again with every byte, so it does
+        not end a response that arrives slowly.
+        """
+        now = self.clock.now()
+        with self.lock:
+            for run in self.busy.values():
+                if now > run.deadline:
+                    _break(run, AttemptKind.timed_out)
+                elif run.caller_left():
+                    _break(run, AttemptKind.cancelled)
+
+    def _watch(self) -> None:
+        while not self.closed.wait(WATCH_SECONDS):
+            self.watch()
+
+    def _connect(self, port: int, seconds: float) -> HTTPConnection:
+        while True:
+            with self.lock:
+                connection = self.idle.pop() if self.idle else None
+            if connection is None:
+                break
             # A connection that the upstream closed while it was idle must
             # not be used: a failure after sending would be ambiguous.
             if connection.port == port and connection.is_connected:
+                connection.timeout = seconds
                 return connection
-            self._discard(connection)
-        connection = HTTPConnection(HOST, port, timeout=_CONNECT_SECONDS)
+            connection.close()
+        timeout = min(_CONNECT_SECONDS, seconds)
+        connection = HTTPConnection(HOST, port, timeout=timeout)
+        connection.response_class = _CheckedResponse
         connection.connect()
-        with self.lock:
-            self.opened.add(connection)
-        self.local.connection = connection
+        connection.timeout = seconds
         return connection
 
     def _exchange(
@@ -136,14 +211,12 @@
         connection: HTTPConnection,
         decision: RunHere,
         request: HttpRequest,
-        remaining: float,
     ) -> UpstreamResult:
         headers = dict(request.headers)
         headers[CONTEXT_HEADER] = decision.context
         headers[REQUEST_HEADER] = decision.header.request_id
-        headers[DEADLINE_HEADER] = str(int(remaining))
-        if connection.sock is not None:
-            connection.sock.settimeout(remaining / _MILLIS_PER_SECOND)
+        remaining = max(1, int(decision.deadline - self.clock.now()))
+        headers[DEADLINE_HEADER] = str(remaining)
         connection.request(
             request.method,
             request.target,
@@ -154,11 +227,9 @@
             enforce_content_length=True,
         )
         answer = connection.getresponse()
-        body = answer.read(decode_content=False)
+        body = _read_body(answer)
         fields = tuple(answer.headers.items())
-        closes = answer.headers.get('connection', '').lower() == 'close'
-        if closes or not connection.is_connected:
-            self._discard(connection)
+        self._release(connection, answer)
         response = HttpResponse(
             answer.status,
             answer.reason or '',
@@ -170,20 +241,53 @@
             kind = AttemptKind.shed
         return UpstreamResult(Attempt(kind, answer.status), response)
 
-    def _fail(
+    def _release(
         self,
         connection: HTTPConnection,
-        kind: AttemptKind,
-    ) -> UpstreamResult:
-        # A late response must never be read by the next call.
-        self._discard(connection)
-        return UpstreamResult(Attempt(kind))
-
-    def _discard(self, connection: HTTPConnection) -> None:
-        connection.close()
-        self.local.connection = None
+        answer: UpstreamAnswer,
+    ) -> None:
+        original = getattr(answer, '_original_response', None)
+        surplus = getattr(original, 'surplus', True)
+        closes = answer.headers.get('connection', '').lower() == 'close'
+        # Bytes after the response would be read as the next response.
+        if surplus or closes or not connection.is_connected:
+            connection.close()
+            return
         with self.lock:
-            self.opened.discard(connection)
+            if not self.closed.is_set():
+                self.idle.append(connection)
+                return
+        connection.close()
+
+
+def _read_body(answer: UpstreamAnswer) -> bytes:
+    """Read the whole body; raise HTTPException if it is too large."""
+    if (answer.length_remaining or 0) > LARGEST_RESPONSE_BYTES:
+        raise HTTPException('response is too large')
+    if answer.length_remaining is not None:
+        return answer.read(decode_content=False)
+    parts: list[bytes] = []
+    size = 0
+    for part in answer.stream(_READ_BYTES, decode_content=False):
+        parts.append(part)
+        size += len(part)
+        if size > LARGEST_RESPONSE_BYTES:
+            raise HTTPException('response is too large')
+    return b''.join(parts)
+
+
+def _break(run: _Run, reason: AttemptKind) -> None:
+    """Shut a connection down; the caller holds the lock of the client.
+
+    Without the lock, the connection could belong to the next call.
+    """
+    if run.broken is not None:
+        return
+    run.broken = reason
+    sock = run.connection.sock
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
 
 
 def _is_timeout(error: BaseException) -> bool:
