--- a/src/jasmineramp/metrics.py
+++ b/src/jasmineramp/metrics.py
@@ -5,18 +5,21 @@
 import statsd
 
 from jasmineramp.clock import Clock
+from jasmineramp.http_messages import HttpResponse
 from jasmineramp.refusals import Refusal, RefusalCode
 
 PREFIX = 'jasmineramp'
 # A call refused for these reasons had passed the rate of its workspace.
-WITHIN_RATE = frozenset((
-    RefusalCode.overloaded,
-    RefusalCode.overloaded_downstream,
-    RefusalCode.no_upstream,
-    RefusalCode.upstream_lost,
-    RefusalCode.deadline_exceeded,
-    RefusalCode.claims_unavailable,
-))
+WITHIN_RATE = frozenset(
+    (
+        RefusalCode.overloaded,
+        RefusalCode.overloaded_downstream,
+        RefusalCode.no_upstream,
+        RefusalCode.upstream_lost,
+        RefusalCode.deadline_exceeded,
+        RefusalCode.claims_unavailable,
+    )
+)
 
 
 class Sink(Protocol):
@@ -58,13 +61,12 @@
         self.sink = sink
         self.clock = clock
 
-    def finish(self, started: float) -> None:
-        """Count an answered call that entered here; times in ms."""
-        self.sink.incr('calls.answered')
-        self.sink.timing('calls.time', self.clock.now() - started)
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Count a refused call that entered here."""
-        self.sink.incr(f'calls.refused.{refusal.code.value}')
-        if refusal.code in WITHIN_RATE:
+    def record(self, result: HttpResponse | Refusal, started: float) -> None:
+        """Count a call that entered here and has ended; time in ms."""
+        if not isinstance(result, Refusal):
+            self.sink.incr('calls.answered')
+            self.sink.timing('calls.time', self.clock.now() - started)
+            return
+        self.sink.incr(f'calls.refused.{result.code.value}')
+        if result.code in WITHIN_RATE:
             self.sink.incr('calls.refused_within_rate')
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -1,6 +1,7 @@
 """Assemble a node and own everything that must be closed."""
 
 import contextlib
+import errno
 import random
 import secrets
 import threading
@@ -25,15 +26,20 @@
 from jasmineramp.configuration_state import ConfigurationState
 from jasmineramp.effects import CountRefusal, RecordEvent
 from jasmineramp.events import MessageReceived
-from jasmineramp.exceptions import AddressInUseError, MessageError
+from jasmineramp.exceptions import (
+    AddressInUseError,
+    MessageError,
+    SettingsError,
+)
 from jasmineramp.exchange import ExchangeState
-from jasmineramp.gateway import Gateway
+from jasmineramp.gateway import CallerChannel, Gateway, is_busy
 from jasmineramp.idempotency import ClaimState
 from jasmineramp.ids import CallId, NodeId, Revision
 from jasmineramp.logs import get_logger
 from jasmineramp.membership_messages import NodeEntry, Upstream
 from jasmineramp.membership_state import MembershipState
 from jasmineramp.messages import Message
+from jasmineramp.metrics import CallMetrics, NoSink, Sink, open_sink
 from jasmineramp.operator_http import OperatorApplication
 from jasmineramp.operator_view import NodeRecords, NodeView
 from jasmineramp.peers import HopAnswer, HopRequest, PeerNetwork
@@ -41,18 +47,17 @@
 from jasmineramp.routing import RoutingState
 from jasmineramp.settings import Settings, split_address
 from jasmineramp.state import NodeState
+from jasmineramp.store_budget import StoreBudget
 from jasmineramp.store_http import HttpStore
-from jasmineramp.store_messages import (
-    Outcome,
-    StoreAnswer,
-    StoreAnswered,
-    StoreRequest,
-)
+from jasmineramp.store_messages import StoreAnswered, StoreRequest
+from jasmineramp.store_worker import StoreWorker
 from jasmineramp.upstreams import UpstreamClient
 
-STORE_THREADS = 6
 OPERATOR_THREADS = 2
 IDLE_POLL_SECONDS = 0.05
+MILLIS_PER_SECOND = 1000
+# A caller on a kept-alive connection learns of the stop with a response.
+LINGER_MS = 1000
 # Loans end after 5 s; then the rate slot is given back.
 HAND_OVER_MS = 8000
 CALLER_CONNECTIONS = 2000
@@ -117,6 +122,7 @@
         self.store = HttpStore(settings.platform) if settings.platform else None
         self.records = NodeRecords(settings.node, self.clock)
         self.on_drain: Callable[[], None] = _do_nothing
+        self.http_servers: list[Any] = []
         try:
             self._assemble()
         except BaseException:
@@ -138,9 +144,14 @@
     def stop(self) -> None:
         """Stop gracefully: finish calls, hand over, then close."""
         self.actor.tell(Delivery(StopRequested()))
-        self._wait_while(self._is_busy, self.settings.stop_after_ms)
+        for server in self.http_servers:
+            server.stopping = True
+        linger_until = self.clock.now() + LINGER_MS
+        self._wait_while(self._has_work, self.settings.stop_after_ms)
         # The platform may be down; what a node holds lapses by itself.
         self._wait_while(propagation.holds_anything, HAND_OVER_MS)
+        time.sleep(max(0, linger_until - self.clock.now()) / MILLIS_PER_SECOND)
+        self._wait_while(self._has_work, LINGER_MS)
         self.close()
 
     def close(self) -> None:
@@ -154,8 +165,10 @@
 
     def run_store(self, request: StoreRequest) -> None:
         """Run a store operation in the background."""
-        with contextlib.suppress(RuntimeError):
-            self.store_executor.submit(self._run_store, request)
+        table = self.state.configuration.table
+        if table is not None:
+            self.store_worker.budget.nodes = table.rate_slots
+        self.store_worker.submit(request)
 
     def record(self, event: RecordEvent) -> None:
         """Record an event on the time line."""
@@ -170,8 +183,11 @@
         """Break the upstream connection of a running call."""
         self.upstream.cancel(call_id)
 
-    def _is_busy(self, state: NodeState) -> bool:
-        return propagation.is_busy(state, self.clock.now())
+    def _has_work(self, state: NodeState) -> bool:
+        """Tell whether a call is open or a response is not yet sent."""
+        return propagation.is_busy(state, self.clock.now()) or any(
+            is_busy(server) for server in self.http_servers
+        )
 
     def _wait_while(
         self,
@@ -197,8 +213,13 @@
             self.stack.callback(self.store.close)
         self.executor = ThreadPoolExecutor(settings.run_threads, 'run')
         self.stack.callback(self._shut_down, self.executor)
-        self.store_executor = ThreadPoolExecutor(STORE_THREADS, 'store')
-        self.stack.callback(self._shut_down, self.store_executor)
+        self.store_worker = StoreWorker(
+            self.store,
+            StoreBudget(self.state.random.getrandbits(32)),
+            self.clock,
+            self._deliver_answer,
+        )
+        self.stack.callback(self.store_worker.close)
         self.network = PeerNetwork(
             settings.node,
             settings.peer,
@@ -219,6 +240,7 @@
             network=self.network,
             executor=self.executor,
             peer_address=settings.peer,
+            metrics=CallMetrics(self._open_sink(), self.clock),
         )
         gateway = Gateway(settings.node, self.runner, self._announce)
         view = NodeView(
@@ -240,6 +262,11 @@
             ),
         )
 
+    def _open_sink(self) -> Sink:
+        if not self.settings.statsd:
+            return NoSink()
+        return open_sink(*split_address(self.settings.statsd))
+
     def _open_server(
         self,
         application: WsgiApplication,
@@ -260,8 +287,17 @@
                 max_request_body_size=self.settings.largest_body_bytes,
                 ident=None,
             )
-        except OSError:
-            raise AddressInUseError(address) from None
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                raise AddressInUseError(address) from None
+            raise SettingsError(
+                f'address {address}',
+                str(error),
+                'name an address of this machine',
+            ) from None
+        server.channel_class = CallerChannel
+        server.stopping = False
+        self.http_servers.append(server)
         self.stack.callback(server.close)
 
         def serve() -> None:
@@ -285,7 +321,8 @@
         executor.shutdown(wait=False, cancel_futures=True)
 
     def _announce(self, upstream: Upstream) -> None:
-        self.actor.tell(Delivery(UpstreamAnnounced(upstream)))
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor.tell(Delivery(UpstreamAnnounced(upstream)))
 
     def _take_message(self, sender: NodeId, message: Message) -> None:
         if isinstance(message, HopRequest):
@@ -302,16 +339,6 @@
     def _report_message_error(self, error: MessageError) -> None:
         _log.warning('peer_message_rejected', error=str(error))
 
-    def _run_store(self, request: StoreRequest) -> None:
-        if self.store is None:
-            answer = StoreAnswer(Outcome.not_done, detail='no platform')
-        else:
-            answer = self.store.run(request.operation, request.role)
-        event = StoreAnswered(
-            request.role,
-            request.tag,
-            request.operation,
-            answer,
-        )
+    def _deliver_answer(self, answered: StoreAnswered) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
-            self.actor.tell(Delivery(event))
+            self.actor.tell(Delivery(answered))
--- a/src/jasmineramp/store_budget.py
+++ b/src/jasmineramp/store_budget.py
@@ -48,6 +48,10 @@
 }
 
 
+# Each node makes two writes for its rate slot when a whole fleet starts.
+START_SPREAD_PER_NODE_MS = 7
+
+
 class BreakerState(enum.Enum):
     """Name the states of a circuit breaker."""
 
@@ -91,11 +95,13 @@
         self.trips = 0
         self.due: Millis | None = None
 
-    def admit(self, is_read: bool, now: Millis) -> float:
+    def admit(self, is_read: bool, nodes: int | None, now: Millis) -> float:
         """Return the wait in milliseconds; 0 counts the call as sent."""
         if self.due is None:
-            spread = self.random.uniform(0, self.limit.start_spread_ms)
-            self.due = later(now, spread)
+            spread = self.limit.start_spread_ms
+            if nodes is not None:
+                spread = min(spread, nodes * START_SPREAD_PER_NODE_MS)
+            self.due = later(now, self.random.uniform(0, spread))
         if now < self.due:
             return self.due - now
         bucket = self.read_bucket if is_read else self.write_bucket
@@ -147,6 +153,8 @@
         self, seed: int, limits: Mapping[Role, RoleLimit] | None = None
     ) -> None:
         source = random.Random(seed)
+        # The size of the fleet, once it is known, shortens the start.
+        self.nodes: int | None = None
         self.roles = {
             role: _RoleBudget(limit, source)
             for role, limit in (limits or DEFAULT_LIMITS).items()
@@ -160,7 +168,7 @@
 
         Every call that was admitted must be reported as finished.
         """
-        wait = self.roles[role].admit(_is_read(operation), now)
+        wait = self.roles[role].admit(_is_read(operation), self.nodes, now)
         if wait:
             self._count(role, operation, 'refused')
         return wait
--- a/src/jasmineramp/store_worker.py
+++ b/src/jasmineramp/store_worker.py
@@ -27,7 +27,9 @@
 class RoleStore(Protocol):
     """Run an operation and count it under a role."""
 
-    def run(self, operation: Operation, role: Role | None = None) -> StoreAnswer:
+    def run(
+        self, operation: Operation, role: Role | None = None
+    ) -> StoreAnswer:
         """Run an operation and return its answer; never raises."""
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -188,6 +188,8 @@
 
 
 class TestStorm(unittest.TestCase):
+    """Guard every promise against random faults."""
+
     @settings(max_examples=30, deadline=None)
     @given(
         st.integers(0, 2**32),
