--- a/bench/admission_policy.py
+++ b/bench/admission_policy.py
@@ -60,7 +60,11 @@
     return Load(0.7, 1, 3 if BEGIN <= now < END else 1)
 
 
-SCENARIOS = (surge, cold, contention, slow_backend)
+def steady(now: float) -> Load:
+    return Load(0.85)
+
+
+SCENARIOS = (steady, surge, cold, contention, slow_backend)
 
 
 class Policy:
@@ -164,6 +168,7 @@
                 f' running {run.running_inversions}'
                 f' later {run.later_inversions()}'
                 f' of {len(run.refusals)}'
+                f' refused {run.refused_share():.2%}'
                 f' least limit {run.least_limit:.0f}',
                 flush=True,
             )
@@ -171,6 +176,8 @@
 
 def cost() -> None:
     """Print microseconds of offer and finish, best of five."""
+    best = min(_expire_cost() for _ in range(5))
+    print(f'expire, full queue: {best:.1f} us a tick')
     for label, queued in (('empty queue', 0), ('full queue', 1000)):
         best = min(_cost_once(queued) for _ in range(5))
         print(f'offer and finish, {label}: {best:.2f} us a call')
@@ -206,6 +213,17 @@
     return (time.perf_counter() - begin) / count * 1e6
 
 
+def _expire_cost(count: int = 100) -> float:
+    state = AdmissionState(Limiter(150, 1000), queue_bound=1e9)
+    for n in range(1030):
+        call = QueuedCall(str(n), f'w{n % 8}', 'row', 1 + n % 5, n % 2, 1e9)
+        admission.offer(state, call, 0.0)
+    begin = time.perf_counter()
+    for _ in range(count):
+        admission.expire(state, 0.0)
+    return (time.perf_counter() - begin) / count * 1e6
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--seed', type=int, default=1)
--- a/bench/instance_simulation.py
+++ b/bench/instance_simulation.py
@@ -281,6 +281,11 @@
         bad = [n for n in after if good[n] < 0.95 * usual * total[n]]
         return (bad[-1] + 1) * WINDOW - END if bad else 0
 
+    def refused_share(self) -> float:
+        """Return the refusals per request from the trigger on."""
+        refused = sum(when >= BEGIN for when, _ in self.refusals)
+        return refused / sum(r.first >= BEGIN for r in self.requests)
+
     def later_inversions(self) -> int:
         """Count refusals after which a less important call starts soon."""
         count = 0
--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -23,8 +23,8 @@
 SMOOTHING = 0.7
 # Fall of the running calls after which the latency must have fallen too.
 DESCENT = 0.65
-# Latency that grows in proportion to the running calls (exponent 1) costs no
-# throughput, so that a lower limit would gain nothing.
+# Latency grows with the running calls by an exponent of at least 1 when they
+# contend, and by 0 when it has another cause. The threshold lies between.
 LATENCY_EXPONENT = 0.65
 # A cold instance cannot use its announced slots yet, and latency measured
 # while it is overloaded would be taken for the usual one.
