Close a latency window after half a second

Cause: with calls of 300 ms and few slots, 40 samples take seconds, so that a new limiter stayed at a fifth of the slots for most of a surge.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -12,6 +12,8 @@
 WINDOW = 100
 WINDOW_SAMPLES = 40
 LEAST_SAMPLES = 5
+# Slow calls yield few samples; a longer window would adapt too late.
+LONGEST_WINDOW = 500
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM = 10_000
 FIRST_WINDOWS = 5
@@ -135,10 +137,13 @@
         if sample.outcome in _MEASURED:
             self._measure(sample)
         elapsed = now - self.window_start
-        if elapsed >= WINDOW and self.samples >= self._needed_samples():
+        needed = self._needed_samples(elapsed)
+        if elapsed >= WINDOW and self.samples >= needed:
             self._close_window(now)
 
-    def _needed_samples(self) -> float:
+    def _needed_samples(self, elapsed: float) -> float:
+        if elapsed >= LONGEST_WINDOW:
+            return LEAST_SAMPLES
         if self.starting:
             return START_SAMPLES
         if self.descent is None:
