Keep a quarter of the announced slots as least and first limit

Cause: a limiter that takes a slow back end for contention costs up to 90% of the goodput at a floor of a tenth. The announced slots are seldom wrong by more than a factor of four. Few slots with slow calls remain weak: a slow back end with 15 slots and calls of 900 ms has 17 samples a second.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -30,11 +30,12 @@
 LATENCY_EXPONENT = 0.65
 # A cold instance cannot use its announced slots yet, and latency measured
 # while it is overloaded would be taken for the usual one.
-START_SHARE = 0.2
+START_SHARE = 0.25
 START_GROWTH = 0.25
 START_SAMPLES = 20
-# A smaller limit yields too few samples to notice that latency recovered.
-FLOOR_SHARE = 0.1
+# A smaller limit yields too few samples to notice that latency recovered, and
+# costs too much when a slow back end is taken for contention.
+FLOOR_SHARE = 0.25
 BUSY_SHARE = 0.9
 INITIAL_SERVICE_TIME = 10
 SERVICE_TIME_GAIN = 0.05
@@ -92,7 +93,7 @@
 class Limiter:
     """Bound the number of running calls of one instance.
 
-    The limit stays between a tenth of the ceiling (at least 1) and the
+    The limit stays between a quarter of the ceiling (at least 1) and the
     ceiling, which is the smaller of the announced slots and connections.
     """
 
