--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -188,7 +188,7 @@
     ) -> None:
         limiter = Limiter(slots, connections)
         now = 0.0
-        for latency, outcome in samples:
+        for latency, outcome in samples * 20:
             now += 20
             limiter.started(Millis(now))
             limiter.finished(LatencySample(latency, outcome), Millis(now))
