--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -12,6 +12,8 @@
 WINDOW = 100
 WINDOW_SAMPLES = 40
 LEAST_SAMPLES = 5
+# Slow calls yield few samples; a longer window would adapt too late.
+LONGEST_WINDOW = 500
 # Time constants with which the long-term latency follows the short-term one.
 LONG_TERM = 10_000
 FIRST_WINDOWS = 5
@@ -23,16 +25,17 @@
 SMOOTHING = 0.7
 # Fall of the running calls after which the latency must have fallen too.
 DESCENT = 0.65
-# Latency that grows in proportion to the running calls (exponent 1) costs no
-# throughput, so that a lower limit would gain nothing.
+# Latency grows with the running calls by an exponent of at least 1 when they
+# contend, and by 0 when it has another cause. The threshold lies between.
 LATENCY_EXPONENT = 0.65
 # A cold instance cannot use its announced slots yet, and latency measured
 # while it is overloaded would be taken for the usual one.
-START_SHARE = 0.2
+START_SHARE = 0.25
 START_GROWTH = 0.25
 START_SAMPLES = 20
-# A smaller limit yields too few samples to notice that latency recovered.
-FLOOR_SHARE = 0.1
+# A smaller limit yields too few samples to notice that latency recovered, and
+# costs too much when a slow back end is taken for contention.
+FLOOR_SHARE = 0.25
 BUSY_SHARE = 0.9
 INITIAL_SERVICE_TIME = 10
 SERVICE_TIME_GAIN = 0.05
@@ -90,7 +93,7 @@
 class Limiter:
     """Bound the number of running calls of one instance.
 
-    The limit stays between a tenth of the ceiling (at least 1) and the
+    The limit stays between a quarter of the ceiling (at least 1) and the
     ceiling, which is the smaller of the announced slots and connections.
     """
 
@@ -135,10 +138,13 @@
         if sample.outcome in _MEASURED:
             self._measure(sample)
         elapsed = now - self.window_start
-        if elapsed >= WINDOW and self.samples >= self._needed_samples():
+        needed = self._needed_samples(elapsed)
+        if elapsed >= WINDOW and self.samples >= needed:
             self._close_window(now)
 
-    def _needed_samples(self) -> float:
+    def _needed_samples(self, elapsed: float) -> float:
+        if elapsed >= LONGEST_WINDOW:
+            return LEAST_SAMPLES
         if self.starting:
             return START_SAMPLES
         if self.descent is None:
