--- a/src/jasmineramp/membership.py
+++ b/src/jasmineramp/membership.py
@@ -13,8 +13,9 @@
     MemberStatus,
     NodeEntry,
     Upstream,
+    UpstreamState,
 )
-from jasmineramp.membership_pings import MISSES_UNTIL_UNREACHABLE
+from jasmineramp.membership_pings import MISSES_UNTIL_UNREACHABLE, spread
 from jasmineramp.membership_probes import handle, run_timers
 from jasmineramp.membership_state import (
     MembershipState,
@@ -65,15 +66,18 @@
 ) -> list[Effect]:
     """Take over an announcement of the own upstream."""
     state.announced_at = now
-    if state.entry.upstream != upstream:
-        replace_own(state, now, upstream=upstream)
+    if state.entry.upstream == upstream:
+        return []
+    replace_own(state, now, upstream=upstream)
+    if upstream.state is UpstreamState.draining:
+        return spread(state)
     return []
 
 
 def leave(state: MembershipState, now: Millis) -> list[Effect]:
     """Tell the others that this node stops; it must not be used after."""
     replace_own(state, now, status=MemberStatus.left, upstream=None)
-    return []
+    return spread(state)
 
 
 def set_revision(state: MembershipState, revision: Revision) -> None:
--- a/src/jasmineramp/membership_pings.py
+++ b/src/jasmineramp/membership_pings.py
@@ -3,7 +3,7 @@
 from jasmineramp.clock import Millis
 from jasmineramp.effects import Effect, SendMessage
 from jasmineramp.ids import DomainId, NodeId
-from jasmineramp.membership_messages import Ack, NodeEntry, Ping
+from jasmineramp.membership_messages import Ack, Entries, NodeEntry, Ping
 from jasmineramp.membership_state import (
     MembershipState,
     Probe,
@@ -16,6 +16,8 @@
 # Exceeds the time that three missing answers take.
 CHECK_MS = 4_000
 MISSES_UNTIL_UNREACHABLE = 3
+OWN_FANOUT = 4
+FOREIGN_FANOUT = 2
 
 
 def ping(
@@ -130,6 +132,18 @@
     release(state, entry.node)
 
 
+def spread(state: MembershipState) -> list[Effect]:
+    """Send the own entry to some members of every domain at once."""
+    effects: list[Effect] = []
+    message = Entries((state.entry,))
+    for name, domain in state.view.domains.items():
+        others = [node for node in domain.members if node != state.node]
+        count = OWN_FANOUT if name == state.domain else FOREIGN_FANOUT
+        chosen = state.random.sample(others, min(count, len(others)))
+        effects.extend(SendMessage(node, message) for node in chosen)
+    return effects
+
+
 def _unavailable(state: MembershipState) -> tuple[DomainId, ...]:
     return tuple(
         name
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -553,7 +553,14 @@
     def test_drain_is_known_everywhere_within_5_s(self) -> None:
         network = Network({f'd{number}': 5 for number in range(14)})
         network.announce('d3-1', DRAINING)
-        network.run(5_000)
+        network.run(1_100)
+        early = {
+            domain_of(observer)
+            for observer in network.states
+            if network.available(observer)['d3-1'] is UpstreamState.draining
+        }
+        self.assertEqual(len(early), 14)
+        network.run(3_900)
         for observer in network.states:
             found = network.available(observer)['d3-1']
             self.assertIs(found, UpstreamState.draining, observer)
