--- a/bench/routing_choice.py
+++ b/bench/routing_choice.py
@@ -19,6 +19,7 @@
 
 SERVICE = ServiceName('orders')
 DOMAIN = DomainId('a')
+OTHERS = tuple(DomainId(f'b{number}') for number in range(13))
 WARM = Millis(100_000)
 NOBODY: frozenset[NodeId] = frozenset()
 SPEEDS = (1, 1, 2, 2, 4, 4, 8, 8)
@@ -27,13 +28,15 @@
 USE = 0.8
 
 
-def make_state(weights: list[float], seed: int) -> routing.RoutingState:
-    """Return a state with one instance per weight."""
+def make_state(
+    weights: list[float], seed: int, domains: tuple[DomainId, ...] = (DOMAIN,)
+) -> routing.RoutingState:
+    """Return a state with one instance per weight, spread over domains."""
     state = routing.RoutingState(DOMAIN, random.Random(seed), Millis(0))
     instances = [
         Instance(
             NodeId(f'node-{number}'),
-            DOMAIN,
+            domains[number % len(domains)],
             1,
             Upstream(SERVICE, 80, SLOTS, 1000, weight),
         )
@@ -43,10 +46,17 @@
     return state
 
 
-def measure_cost(count: int, seed: int, rounds: int = 100_000) -> float:
+def measure_cost(
+    count: int,
+    seed: int,
+    domains: tuple[DomainId, ...],
+    rounds: int = 100_000,
+) -> float:
     """Return the microseconds of a choice and its observation."""
     rng = random.Random(seed)
-    state = make_state([rng.choice(SPEEDS) for _ in range(count)], seed)
+    state = make_state(
+        [rng.choice(SPEEDS) for _ in range(count)], seed, domains
+    )
     report = LoadReport()
     running: deque[NodeId] = deque()
     started = time.perf_counter()
@@ -146,8 +156,9 @@
     parser.add_argument('--calls', type=int, default=60_000)
     options = parser.parse_args()
     for count in (10, 1_500):
-        cost = measure_cost(count, options.seed)
-        print(f'{count} instances: {cost:.2f} us per choose and observe')
+        for label, domains in (('own domain', (DOMAIN,)), ('13 other', OTHERS)):
+            cost = measure_cost(count, options.seed, domains)
+            print(f'{count} instances, {label}: {cost:.2f} us per call')
     for label, weights in (
         ('right weights', [float(speed) for speed in SPEEDS]),
         ('equal weights', [1.0] * len(SPEEDS)),
