--- a/src/jasmineramp/membership_probes.py
+++ b/src/jasmineramp/membership_probes.py
@@ -120,7 +120,6 @@
     state.answered_at = now
     note_answer(state, message.entry)
     effects.extend(check_domains(state, message, now))
-    release(state, message.target)
     if probe.kind is not ProbeKind.contact:
         record_result(state, message.target, now, answered=True)
     if probe.relay is not None:
@@ -133,6 +132,10 @@
             message.target,
         )
         effects.append(SendMessage(requester, answer))
+    if state.held and is_connected(state, now):
+        # The node was cut off and is not any more.
+        for held in list(state.held):
+            release(state, held)
     # An ack passed on by a helper does not mean that the target has heard.
     if peer == _lowest(state):
         state.reported = (peer, probe.revision)
@@ -277,7 +280,7 @@
     now: Millis,
 ) -> list[Effect]:
     entry = state.view.entries.get(probe.target)
-    if entry is None or not state.is_current or not is_member(entry):
+    if entry is None or not is_member(entry):
         return []
     if probe.kind is ProbeKind.domain:
         return miss_domain(state, probe.target, now)
@@ -299,7 +302,7 @@
 def _judge_suspects(state: MembershipState, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
     for node, until in list(state.suspects.items()):
-        if now < until or not state.is_current:
+        if now < until:
             continue
         entry = state.view.entries[node]
         if is_connected(state, now):
--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -304,9 +304,9 @@
     state.confirm_until = now + CONFIRM_MS
     # Late answers to pings from before the pause confirm nothing.
     state.probes.clear()
+    # Without fresh results nobody is suspected or declared dead.
     state.own_results.clear()
     state.foreign_results.clear()
-    state.suspects = dict.fromkeys(state.suspects, now + SUSPECT_MS)
     state.answered_at = now
     state.announced_at = max(state.announced_at, now - ANNOUNCEMENT_GRACE_MS)
     state.sync_at = now
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -4,6 +4,7 @@
 import random
 from bisect import bisect
 from collections.abc import Iterable
+from itertools import accumulate
 
 import msgspec
 
@@ -284,13 +285,12 @@
     pools = service.others
     if now >= service.spare_until:
         service.spare_until = now + SPARE_REFRESH_MS
-        for pool in pools:
-            pool.measure_spare(now)
-    shares = [pool.spare for pool in pools]
-    if not any(shares):
-        shares = [pool.total for pool in pools]
-    chosen = rng.choices(pools, shares)[0]
-    target = _pick(rng, chosen, exclude, now)
+        service.shares = list(accumulate(pool.spare(now) for pool in pools))
+        if not service.shares[-1]:
+            service.shares = list(accumulate(pool.total for pool in pools))
+    drawn = rng.random() * service.shares[-1]
+    index = min(bisect(service.shares, drawn), len(pools) - 1)
+    target = _pick(rng, pools[index], exclude, now)
     if target is not None:
         return target
     everywhere = [each for pool in pools for each in pool.targets]
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -113,17 +113,16 @@
 class Pool:
     """Hold the selectable instances of a service in one failure domain."""
 
-    __slots__ = ('cumulative', 'spare', 'targets', 'total')
+    __slots__ = ('cumulative', 'targets', 'total')
 
     def __init__(self, targets: list[Target]) -> None:
         self.targets = targets
         self.cumulative = list(accumulate(each.weight for each in targets))
         self.total = self.cumulative[-1]
-        self.spare = float(0)
 
-    def measure_spare(self, now: Millis) -> None:
-        """Add up the slots that are not known to be in use."""
-        self.spare = sum(
+    def spare(self, now: Millis) -> int:
+        """Return the slots that are not known to be in use."""
+        return sum(
             each.slots - each.in_flight
             for each in self.targets
             if not each.is_full(now)
@@ -137,6 +136,8 @@
         self.targets: dict[NodeId, Target] = {}
         self.home: Pool | None = None
         self.others: list[Pool] = []
+        # Running totals of the spare slots of the other domains.
+        self.shares: list[float] = []
         self.rebuild_at = float(0)
         self.spare_until = float(0)
         self.failure_rate = float(0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -32,6 +32,8 @@
     TOMBSTONE_MS,
     MembershipState,
     enqueue,
+    hold,
+    is_connected,
     take_changes,
 )
 from jasmineramp.membership_sync import start_sync
@@ -343,6 +345,9 @@
         body = network.encode(Entries((late,)))
         network.deliver('b-0', 'a-0', body)
         self.assertNotIn('a-1', network.alive('b-0'))
+        # The sender of the late entry is told at once.
+        answer = network.decode(network.sent[-1][1])
+        self.assertEqual(answer, Entries((network.entry('b-0', 'a-1'),)))
 
     def test_isolated_node_does_not_declare_the_rest_dead(self) -> None:
         network = Network({'a': 5, 'b': 2})
@@ -368,6 +373,25 @@
             if entry.status
         ]
         self.assertLess(len(suspects), 6)
+        network.heal()
+        network.run(5_000)
+        self.assertEqual(network.alive('a-0'), sorted(network.states))
+
+    def test_answer_releases_a_member_while_cut_off(self) -> None:
+        network = Network({'a': 12, 'b': 4})
+        network.groups = {'a-0': 1, 'a-1': 1}
+        network.run(12_000)
+        hold(network.states['a-0'], NodeId('a-1'))
+        network.run(8_000)
+        self.assertEqual(network.alive('a-0'), ['a-0', 'a-1'])
+
+    def test_missing_answers_outweigh_those_from_before_a_cut(self) -> None:
+        network = Network({'a': 1, 'b': 6, 'c': 6})
+        network.groups['a-0'] = 1
+        network.run(3_000)
+        self.assertFalse(
+            is_connected(network.states['a-0'], Millis(network.now))
+        )
 
     def test_isolated_rack_does_not_declare_the_rest_dead(self) -> None:
         network = Network({'a': 12, 'b': 4})
@@ -506,6 +530,21 @@
         for observer in network.states:
             self.assertEqual(network.alive(observer), sorted(network.states))
 
+    def test_pause_alone_changes_no_instance(self) -> None:
+        network = self.pause(['a-0'], 8_000)
+        state = network.states['a-0']
+        membership.instance_changes(state)
+        network.paused.clear()
+        network.tick('a-0')
+        self.assertEqual(membership.instance_changes(state), [])
+
+    def test_silence_of_the_upstream_is_noticed_soon_after(self) -> None:
+        network = self.pause(['a-0'], 8_000)
+        network.announce('a-0', None)
+        network.paused.clear()
+        network.run(2_500)
+        self.assertNotIn('a-0', network.available('a-0'))
+
     def test_answer_from_before_the_pause_confirms_nothing(self) -> None:
         network = Network({'a': 4, 'b': 3})
         network.run(500)
