Probe rate slots in a shuffled order

Cause: with the next index as the next probe, occupied slots form long runs in an almost full table.

--- a/src/jasmineramp/rate_slots.py
+++ b/src/jasmineramp/rate_slots.py
@@ -2,7 +2,6 @@
 
 import enum
 import random
-import zlib
 
 import msgspec
 
@@ -78,6 +77,7 @@
     def __init__(self, settings: SlotSettings, slots: int, seed: int) -> None:
         self.settings = settings
         self.slots = slots
+        self.order = _order_probes(settings.address, slots)
         self.random = random.Random(seed)
         prefix = f'slots/{settings.domain}'
         self.step = StoreStep(
@@ -164,6 +164,7 @@
     if slots == state.slots:
         return []
     state.slots = slots
+    state.order = _order_probes(state.settings.address, slots)
     if state.phase in _IN_USE:
         beyond = state.index is None or state.index >= slots
         return _give_back(state, now) if beyond else []
@@ -198,7 +199,7 @@
 
 def _probe(state: RateSlotState, now: Millis) -> list[Effect]:
     if state.probes < state.last_probe:
-        key = _slot_key(state, _index_of(state, state.probes))
+        key = _slot_key(state, state.order[state.probes])
         return _move(state, SlotPhase.probing, Get(key), now)
     if state.free is not None:
         return _write(state, state.free, 0, now)
@@ -210,7 +211,7 @@
 def _probed(
     state: RateSlotState, answer: StoreAnswer, now: Millis
 ) -> list[Effect]:
-    index = _index_of(state, state.probes)
+    index = state.order[state.probes]
     state.probes += 1
     if answer.revision and answer.body is not None:
         if _address_of(answer.body) == state.settings.address:
@@ -299,10 +300,13 @@
         return ''
 
 
-def _index_of(state: RateSlotState, probe: int) -> int:
-    """Return the index of a probe; a node always probes in one order."""
-    start = zlib.crc32(state.settings.address.encode())
-    return (start + probe) % state.slots
+def _order_probes(address: str, slots: int) -> list[int]:
+    """Return the order in which a node looks at the slots.
+
+    It is the same for each process on an address. A shuffled order needs far
+    fewer probes in an almost full table than the next index would.
+    """
+    return random.Random(address).sample(range(slots), slots)
 
 
 def _slot_key(state: RateSlotState, index: int) -> str:
--- a/tests/test_rate_slots.py
+++ b/tests/test_rate_slots.py
@@ -251,6 +251,15 @@
         fleet.advance(2 * HOUR_MS)
         self.assertEqual(fleet.all_held(), [0])
 
+    def test_almost_full_domain_needs_few_reads(self) -> None:
+        fleet = SlotFleet(slots=110)
+        for index in range(107):
+            fleet.start(f'10.0.0.{index}')
+        fleet.advance(HOUR_MS)
+        self.assertEqual(len(fleet.all_held()), 107)
+        # Looking at the next index each time takes 1,754 reads.
+        self.assertLess(fleet.store.calls['Get'], 1500)
+
     def test_damaged_entry_is_left_alone(self) -> None:
         fleet = SlotFleet(slots=2)
         for slot in range(2):
