--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -204,6 +204,4 @@
     """Tell whether slot, claim partition or outcome is left to hand over."""
     if state.slots is not None and not rate_slots.is_stopped(state.slots):
         return True
-    if state.claims.reports.has_open():
-        return True
-    return idempotency.owns_any(state.claims)
+    return not idempotency.is_settled(state.claims)
