--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -5,49 +5,52 @@
 import itertools
 import random
 from functools import partial
-from typing import Any
+from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
 
 from jasmineramp import call_messages as cm
+from jasmineramp import store_messages as sm
+from jasmineramp.authentication import digest_key
 from jasmineramp.call_messages import Attempt, AttemptKind
-from jasmineramp.claim_settings import ClaimSettings
 from jasmineramp.clock import ManualClock, Millis
-from jasmineramp.configuration_state import ConfigurationState
 from jasmineramp.effects import SendMessage
 from jasmineramp.events import MessageReceived, Tick
-from jasmineramp.exchange import ExchangeState
-from jasmineramp.idempotency import ClaimState
-from jasmineramp.ids import DomainId
-from jasmineramp.membership_messages import NodeEntry, Upstream
-from jasmineramp.membership_state import MembershipState
-from jasmineramp.rates import RateState
+from jasmineramp.membership_messages import Upstream, UpstreamState
+from jasmineramp.node import build_state
 from jasmineramp.reducer import reduce
 from jasmineramp.refusals import Refusal, RefusalCode
-from jasmineramp.routing import RoutingState
-from jasmineramp.state import NodeState
-from jasmineramp.store_messages import (
-    CompareAndSwap,
-    StoreAnswered,
-    StoreRequest,
-    Watch,
-)
-from jasmineramp.table import Table, find_call
+from jasmineramp.settings import Settings
+from jasmineramp.table import CallRow, KeyRow, Table, WorkspaceRow, find_call
 from jasmineramp.table_files import encode_table
 from tests.fakes.store import FakeStore
 
-DOMAINS = (DomainId('a'), DomainId('b'))
+HOPS = 6
+RETRIES = 3
+DOMAINS = ('a', 'b')
+SERVICES = ('s0', 's0', 's1', 's1', 's2', 's2')
+KEYS = {digest_key(name): name[0] for name in ('a1', 'a2', 'b1')}
+KEY = next(iter(KEYS))
+CALL_ROWS = [
+    CallRow(f'h{hop}', f's{hop % 3}', f'/h{hop}', retries=RETRIES)
+    for hop in range(HOPS)
+] + [
+    CallRow('low', 's0', '/low', importance=1),
+    CallRow('high', 's0', '/high', importance=5),
+    CallRow('order', 's0', '/order', idempotent=False, retries=RETRIES),
+    CallRow('bill', 's1', '/bill', idempotent=False, retries=RETRIES),
+]
+TABLE = Table(
+    tuple(CALL_ROWS),
+    (WorkspaceRow('a', 3000, 600), WorkspaceRow('b', 20, 12)),
+    tuple(KeyRow(digest, name) for digest, name in KEYS.items()),
+    rate_slots=len(SERVICES),
+)
+WITHOUT_KEY = msgspec.structs.replace(TABLE, keys=TABLE.keys[1:])
 ANSWER_GRACE_MS = 50
 WATCH_MS = 200
-
-
-class Faults(msgspec.Struct):
-    """Hold the faults of the network; delays are milliseconds."""
-
-    loss: float = 0
-    duplicates: float = 0
-    delay: float = 2
-    cut: set[str] = msgspec.field(default_factory=set)
+ATTEMPTS = cm.RunHere | cm.Forward | cm.HopRefused
 
 
 class Plan(msgspec.Struct):
@@ -59,136 +62,72 @@
     repeats: int = 0
 
 
-class Run(msgspec.Struct):
-    """Record a run: what the upstream saw and what its node knew."""
-
-    header: Any
-    node: str
-    service: str
-    time: float
-    revision: int
-    context: Any
-    open: int = 0
-
-    @property
-    def call(self) -> str:
-        return self.header.call_id.partition('.')[0]
-
-
-class Call(msgspec.Struct):
-    """Follow a call as the thread that serves its caller does."""
-
-    arrived: Any
-    node: str
-    request: str
-    done: Any = None
-    attempts: int = 0
-    forwarded_at: tuple[int, ...] = ()
-    hop: str = ''
-    answer: Any = None
-
-    @property
-    def code(self) -> str:
-        refused = isinstance(self.answer, Refusal)
-        return self.answer.code.value if refused else ''
-
-
-class Process:
-    """Hold one process; a new one on the node replaces the object."""
-
-    def __init__(self, state: NodeState, upstream: Upstream) -> None:
-        self.state = state
-        self.node = state.node
-        self.paused = False
-        self.backlog: list[Any] = []
-        self.upstream = upstream
-        self.calls: dict[str, Call] = {}
-        self.hops: dict[str, str] = {}
-        self.served: dict[str, Process] = {}
-        self.runs: dict[str, Any] = {}
-
-
 class Fleet:
     """Run the nodes of some services and record what happens."""
 
-    def __init__(
-        self,
-        table: Table,
-        services: tuple[str, ...],
-        seed: int = 1,
-        *,
-        platform: bool = False,
-        slots: int = 4,
-    ) -> None:
+    def __init__(self, services, seed=1, *, platform=False, slots=4):
         self.clock = ManualClock()
         self.store = FakeStore(self.clock)
         self.random = random.Random(seed)
-        self.faults = Faults()
-        self.table = table
+        self.loss, self.duplicates, self.delay, self.cut = 0, 0, 2, set()
+        self.table, self.revision = TABLE, 1
         self.platform = platform
-        self.revision = 1
         self.order = itertools.count()
-        self.queue: list[Any] = []
-        self.processes: dict[str, Process] = {}
-        self.starts: collections.Counter[str] = collections.Counter()
+        self.queue = []
+        self.processes = {}
+        self.starts = collections.Counter()
         self.upstreams = {
             f'n{index}': Upstream(name, 1, slots, 99)
             for index, name in enumerate(services)
         }
-        self.plan: Any = lambda header: Plan()
-        self.history: list[Run] = []
-        self.calls: dict[str, Call] = {}
-        self.refused: list[tuple[int, int]] = []
+        self.plan = lambda header: Plan()
+        self.history, self.calls, self.refused = [], {}, []
         if platform:
-            write = CompareAndSwap('table', 0, encode_table(table))
+            write = sm.CompareAndSwap('table', 0, encode_table(TABLE))
             self.store.state.apply(write, Millis(0))
         for node in self.upstreams:
             self.start(node)
         self.advance(4000)
 
-    def start(self, node: str) -> None:
-        """Start a process and let its upstream announce itself."""
+    def start(self, node):
         self.starts[node] += 1
-        number = self.starts[node] * 1_000_000
-        now = self.clock.now()
-        rng = random.Random(self.random.random())
-        nodes = list(self.upstreams)
+        nodes = tuple(self.upstreams)
         domain = DOMAINS[nodes.index(node) % 2]
-        entry = NodeEntry(node, node, domain, number)
-        settings = ClaimSettings(node, number, domain, DOMAINS)
-        state = NodeState(
-            node,
-            domain,
-            rng,
-            membership=MembershipState(entry, nodes, rng, now),
-            configuration=ConfigurationState(
-                node, domain, 1, DOMAINS, has_platform=self.platform
-            ),
-            routing=RoutingState(domain, rng, now),
-            rates=RateState(node, number, now),
-            exchange=ExchangeState(node, domain, 1),
-            claims=ClaimState(settings, rng.getrandbits(32)),
-            domains=DOMAINS,
+        platform = 'fake' * self.platform
+        settings = Settings(
+            node, domain, DOMAINS, '', node, '', platform, seeds=nodes
+        )
+        number = self.starts[node] * 1_000_000
+        with mock.patch('secrets.randbits', self.random.getrandbits):
+            state = build_state(settings, number, self.clock.now())
+        process = SimpleNamespace(
+            state=state,
+            node=node,
+            paused=False,
+            backlog=[],
+            upstream=self.upstreams[node],
+            calls={},
+            hops={},
+            served={},
+            runs={},
         )
-        process = Process(state, self.upstreams[node])
         self.processes[node] = process
         if not self.platform:
             self._load(process)
-        self._tick(process)
-        self._announce(process)
+        self._beat(process, 0)
 
-    def edit(self, node: str, table: Table) -> None:
+    def edit(self, node, table):
         """Put a table in force on a node; gossip carries it on."""
         self.table = table
         self.revision += 1
         self._load(self.processes[node])
 
-    def _load(self, process: Process) -> None:
+    def _load(self, process):
         slot = list(self.upstreams).index(process.node)
         body = encode_table(self.table)
         self.apply(process, cm.TableLoaded(self.revision, body, slot))
 
-    def crash(self, node: str) -> None:
+    def crash(self, node):
         """End a process and its upstream; its links break."""
         process = self.processes.pop(node)
         for call in process.calls.values():
@@ -199,43 +138,42 @@
                 if target == node:
                     self.post(1, self._take_answer, other, attempt, lost)
 
-    def pause(self, node: str, duration: float) -> None:
-        """Handle no event for a while, then all of them."""
+    def pause(self, node, duration):
         process = self.processes[node]
         process.paused = True
         self.post(duration, self._resume, process)
 
-    def _resume(self, process: Process) -> None:
+    def _resume(self, process):
         process.paused = False
         backlog, process.backlog = process.backlog, []
         for event in backlog:
             self.apply(process, event)
 
-    def announce(self, node: str, upstream: Upstream) -> None:
-        """Let the upstream of a node announce something else."""
-        self.processes[node].upstream = upstream
-        self.apply(self.processes[node], cm.UpstreamAnnounced(upstream))
+    def announce(self, node, **fields):
+        process = self.processes[node]
+        process.upstream = msgspec.structs.replace(process.upstream, **fields)
+        self.apply(process, cm.UpstreamAnnounced(process.upstream))
+
+    def drain(self, node):
+        self.announce(node, state=UpstreamState.draining)
 
-    def _tick(self, process: Process) -> None:
+    def _beat(self, process, count):
         if self._is_live(process):
             if not process.paused:
                 self.apply(process, Tick())
-            self.post(50, self._tick, process)
-
-    def _announce(self, process: Process) -> None:
-        if self._is_live(process):
-            self.apply(process, cm.UpstreamAnnounced(process.upstream))
-            self.post(1000, self._announce, process)
+            if count % 20 == 0:
+                self.apply(process, cm.UpstreamAnnounced(process.upstream))
+            self.post(50, self._beat, process, count + 1)
 
-    def _is_live(self, process: Process) -> bool:
+    def _is_live(self, process):
         return self.processes.get(process.node) is process
 
-    def post(self, delay: float, function: Any, *arguments: Any) -> None:
+    def post(self, delay, function, *arguments):
         due = self.clock.now() + delay
         step = partial(function, *arguments)
         heapq.heappush(self.queue, (due, next(self.order), step))
 
-    def advance(self, duration: float) -> None:
+    def advance(self, duration):
         end = self.clock.now() + duration
         while self.queue and self.queue[0][0] <= end:
             due, _, step = heapq.heappop(self.queue)
@@ -243,16 +181,17 @@
             step()
         self.clock.advance(end - self.clock.now())
 
-    def call(
-        self,
-        node: str,
-        path: str,
-        key: str | None = None,
-        claim: str | None = None,
-        *,
-        parent: Run | None = None,
-        done: Any = None,
-    ) -> Call:
+    def advance_until(self, condition):
+        for _ in range(4000):
+            if condition():
+                return
+            self.advance(0.5)
+        raise AssertionError('the state was not reached')
+
+    def _nonce(self):
+        return f'{self.random.getrandbits(64):x}'
+
+    def call(self, node, path, key=None, claim=None, parent=None, done=None):
         """Start a call of a caller, or onward from a run."""
         process = self.processes[node]
         number = f'c{next(self.order)}'
@@ -260,35 +199,45 @@
             number,
             'POST',
             path,
-            f'{self.random.getrandbits(64):x}',
+            self._nonce(),
             key=key,
             context=parent.context if parent else None,
             idempotency_key=claim,
             fingerprint=path.encode(),
         )
         request = parent.header.request_id if parent else number
-        call = Call(arrived, node, request, done)
-        process.calls[number] = call
-        self.calls[number] = call
+        call = SimpleNamespace(
+            arrived=arrived,
+            node=node,
+            request=request,
+            done=done,
+            attempts=0,
+            forwarded_at=[],
+            hop='',
+            answer=None,
+            code='',
+        )
+        process.calls[number] = self.calls[number] = call
         self.apply(process, arrived)
         return call
 
-    def leave(self, call: Call) -> None:
+    def leave(self, call):
         """Let the caller go, whatever its call waits for."""
         process = self.processes.get(call.node)
         if call.answer is None and process is not None:
             self._end(process, call, 'left')
             self.apply(process, cm.CallerLeft(call.arrived.call_id))
 
-    def _end(self, process: Process, call: Call, answer: Any) -> None:
+    def _end(self, process, call, answer):
         process.calls.pop(call.arrived.call_id, None)
         process.hops.pop(call.hop, None)
         call.answer = answer
+        if isinstance(answer, Refusal):
+            call.code = answer.code.value
         if call.done is not None:
             call.done(call)
 
-    def apply(self, process: Process, event: Any) -> None:
-        """Handle an event, after a pause if the process is paused."""
+    def apply(self, process, event):
         if not self._is_live(process):
             return
         if process.paused:
@@ -301,36 +250,29 @@
                 case SendMessage():
                     message = MessageReceived(process.node, effect.message)
                     self._send(process, effect.node, self.apply, message)
-                case StoreRequest():
-                    is_watch = isinstance(effect.operation, Watch)
+                case sm.StoreRequest():
+                    is_watch = isinstance(effect.operation, sm.Watch)
                     delay = WATCH_MS if is_watch else self.random.uniform(1, 5)
                     self.post(delay, self._run_store, process, effect)
                 case cm.CancelRun():
                     cancelled = Attempt(AttemptKind.cancelled)
                     self._end_run(process, effect.call_id, cancelled)
 
-    def _run_store(self, process: Process, request: StoreRequest) -> None:
+    def _run_store(self, process, request):
         answer = self.store.run(request.operation)
-        event = StoreAnswered(
-            request.role, request.tag, request.operation, answer
-        )
-        self.apply(process, event)
+        fields = (request.role, request.tag, request.operation, answer)
+        self.apply(process, sm.StoreAnswered(*fields))
 
-    def _send(
-        self, sender: Process, node: str, function: Any, *arguments: Any
-    ) -> None:
-        faults = self.faults
+    def _send(self, sender, node, function, *arguments):
         target = self.processes.get(node)
-        if target is None or (sender.node in faults.cut) != (
-            node in faults.cut
-        ):
+        if target is None or (sender.node in self.cut) != (node in self.cut):
             return
-        for _ in range(1 + (self.random.random() < faults.duplicates)):
-            if self.random.random() >= faults.loss:
-                delay = self.random.uniform(0.2, faults.delay)
+        for _ in range(1 + (self.random.random() < self.duplicates)):
+            if self.random.random() >= self.loss:
+                delay = self.random.uniform(0.2, self.delay)
                 self.post(delay, function, target, *arguments)
 
-    def _decide(self, process: Process, call_id: str, decision: Any) -> None:
+    def _decide(self, process, call_id, decision):
         if isinstance(decision, cm.HopRefused):
             self._note_refusal(process, decision.refusal, call_id)
         call = process.calls.get(call_id)
@@ -339,18 +281,17 @@
                 self._run(process, decision, self._end_hop)
             else:
                 self._answer(process, call_id, _refused(decision))
-            return
-        if call is None:
-            return
-        is_attempt = isinstance(
-            decision, cm.RunHere | cm.Forward | cm.HopRefused
-        )
-        call.attempts += is_attempt
+        elif call is not None:
+            call.attempts += isinstance(decision, ATTEMPTS)
+            self._follow(process, call, decision)
+
+    def _follow(self, process, call, decision):
+        call_id = call.arrived.call_id
         match decision:
             case cm.RunHere():
                 self._run(process, decision, self._end_local)
             case cm.Forward():
-                call.forwarded_at += (process.state.configuration.revision,)
+                call.forwarded_at.append(process.state.configuration.revision)
                 self._forward(process, call, decision)
             case cm.HopRefused():
                 attempt = _refused(decision)
@@ -363,9 +304,7 @@
             case _:
                 self._end(process, call, 'delivered')
 
-    def _note_refusal(
-        self, process: Process, refusal: Refusal, call_id: str
-    ) -> None:
+    def _note_refusal(self, process, refusal, call_id):
         """Record an overload refusal with the least importance queued."""
         if refusal.code is RefusalCode.overloaded:
             call = self.calls[call_id.partition('.')[0]]
@@ -374,7 +313,7 @@
             least = min((each.call.importance for each in entries), default=5)
             self.refused.append((row.importance, least))
 
-    def _forward(self, process: Process, call: Call, decision: Any) -> None:
+    def _forward(self, process, call, decision):
         node, call.hop = decision.node, decision.header.call_id
         process.hops[call.hop] = node
         late = Attempt(AttemptKind.timed_out)
@@ -384,73 +323,62 @@
         self._send(process, node, self._take_hop, process, decision.header)
         self.post(wait, self._take_answer, process, call.hop, late)
 
-    def _take_hop(self, process: Process, origin: Process, header: Any) -> None:
+    def _take_hop(self, process, origin, header):
         process.served.setdefault(header.call_id, origin)
-        nonce = f'{self.random.getrandbits(64):x}'
-        self.apply(process, cm.HopArrived(header, nonce))
+        self.apply(process, cm.HopArrived(header, self._nonce()))
 
-    def _end_hop(
-        self, process: Process, call_id: str, attempt: Attempt
-    ) -> None:
+    def _end_hop(self, process, call_id, attempt):
         self.apply(process, cm.HopEnded(call_id, attempt))
         self._answer(process, call_id, attempt)
 
-    def _answer(self, process: Process, call_id: str, attempt: Attempt) -> None:
+    def _answer(self, process, call_id, attempt):
         origin = process.served[call_id].node
         self._send(process, origin, self._take_answer, call_id, attempt)
 
-    def _take_answer(
-        self, process: Process, call_id: str, attempt: Attempt
-    ) -> None:
+    def _take_answer(self, process, call_id, attempt):
         if process.hops.pop(call_id, None) is not None:
             self._end_local(process, call_id, attempt)
 
-    def _end_local(
-        self, process: Process, call_id: str, attempt: Attempt
-    ) -> None:
+    def _end_local(self, process, call_id, attempt):
         number = call_id.partition('.')[0]
         call = process.calls.get(number)
         if attempt.kind is AttemptKind.answered and call is not None:
             self._end(process, call, attempt)
         self.apply(process, cm.AttemptEnded(number, attempt))
 
-    def _run(self, process: Process, decision: cm.RunHere, done: Any) -> None:
+    def _run(self, process, decision, done):
         header = decision.header
-        now = self.clock.now()
-        run = Run(
-            header,
-            process.node,
-            process.upstream.service,
-            now,
-            process.state.configuration.revision,
-            decision.context,
+        plan = self.plan(header)
+        run = SimpleNamespace(
+            header=header,
+            call=header.call_id.partition('.')[0],
+            node=process.node,
+            service=process.upstream.service,
+            revision=process.state.configuration.revision,
+            context=decision.context,
+            open=len(plan.onward),
         )
         self.history.append(run)
         process.runs[header.call_id] = done
-        plan = self.plan(header)
         late = Attempt(AttemptKind.timed_out)
-        wait = decision.deadline - now
+        wait = decision.deadline - self.clock.now()
         self.post(wait, self._end_run, process, header.call_id, late)
-        run.open = len(plan.onward)
         for target in plan.onward:
-            self.post(
-                0, self._go_onward, process, run, plan, target, plan.repeats
-            )
+            step = (process, run, plan, target, plan.repeats)
+            self.post(0, self._go_onward, *step)
         if not plan.onward:
             self._finish_run(process, run, plan)
 
-    def _finish_run(self, process: Process, run: Run, plan: Plan) -> None:
+    def _finish_run(self, process, run, plan):
         attempt = Attempt(plan.kind, 200)
         call_id = run.header.call_id
         self.post(plan.duration, self._end_run, process, call_id, attempt)
 
-    def _go_onward(
-        self, process: Process, run: Run, plan: Plan, target: Any, repeats: int
-    ) -> None:
-        def done(call: Call) -> None:
+    def _go_onward(self, process, run, plan, target, repeats):
+        def done(call):
             if repeats and isinstance(call.answer, Refusal):
-                left = repeats - 1
-                self.post(1, self._go_onward, process, run, plan, target, left)
+                step = (process, run, plan, target, repeats - 1)
+                self.post(1, self._go_onward, *step)
                 return
             run.open -= 1
             if not run.open:
@@ -458,42 +386,46 @@
 
         if self._is_live(process) and run.header.call_id in process.runs:
             path, claim = target
-            self.call(run.node, path, None, claim, parent=run, done=done)
+            self.call(run.node, path, None, claim, run, done)
 
-    def _end_run(
-        self, process: Process, call_id: str, attempt: Attempt
-    ) -> None:
+    def _end_run(self, process, call_id, attempt):
         done = process.runs.pop(call_id, None)
         if done is not None and self._is_live(process):
             done(process, call_id, attempt)
 
+    def leaks(self):
+        found = [leaks(each.state) for each in self.processes.values()]
+        return [each for each in found if each]
 
-def _refused(decision: cm.HopRefused) -> Attempt:
+
+def _refused(decision):
     kind = AttemptKind.refused
     return Attempt(kind, refusal=decision.refusal, load=decision.load)
 
 
-def leaks(state: NodeState) -> dict[str, Any]:
-    """Return what a node without calls still holds for calls."""
-    held: dict[str, Any] = {
+def go_onward(path, *, deeper=None, repeats=0):
+    """Let first hops make an onward call; deeper is the plan of the rest."""
+
+    def plan(header):
+        if header.hop:
+            return deeper or Plan()
+        return Plan(onward=((path, None),), repeats=repeats)
+
+    return plan
+
+
+def leaks(state):
+    targets = state.routing.targets.items()
+    held = {
         'calls': state.calls,
-        'pending_hops': state.pending_hops,
-        'running': state.running,
-        'contexts': state.contexts,
-        'charges': state.charges,
+        'hops': [state.pending_hops, state.running, state.contexts],
         'parked': state.parked,
-        'ledgers': state.retries.ledgers,
-        'asked': state.retries.asked,
-        'onward': state.retries.onward,
-        'claims': state.claims.running,
-        'pending_claims': state.claims.pending,
-        'in_flight': {
-            node: target.in_flight
-            for node, target in state.routing.targets.items()
-            if target.in_flight
-        },
+        'charges': state.charges,
+        'retries': list(vars(state.retries).values()),
+        'claims': [state.claims.running, state.claims.pending],
+        'in_flight': [node for node, each in targets if each.in_flight],
     }
     if state.admission is not None:
-        held['slots'] = state.admission.running
-        held['queue'] = state.admission.queue.entries
-    return {name: content for name, content in held.items() if content}
+        admission = state.admission
+        held['admission'] = [admission.running, admission.queue.entries]
+    return {name: each for name, each in held.items() if any(each)}
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,95 @@
+"""Test events that concern several policies of a node."""
+
+import unittest
+
+from jasmineramp import propagation
+from jasmineramp.call_messages import AttemptKind, StopRequested
+from tests.fakes.network import KEY, TABLE, WITHOUT_KEY, Fleet, Plan, go_onward
+
+
+class TestReducer(unittest.TestCase):
+    """Guard stops, restarts and edits while calls are open."""
+
+    def test_stop_cuts_off_no_call(self):
+        """Open calls must end and what the node holds must be handed over."""
+        fleet = Fleet(('s0', 's0', 's1'), platform=True, slots=1)
+        fleet.advance(15_000)
+        state = fleet.processes['n0'].state
+        self.assertTrue(propagation.holds_anything(state))
+        fleet.plan = go_onward('/h1', deeper=Plan(60))
+        calls = [fleet.call(node, '/h0', KEY) for node in ('n0', 'n2') * 2]
+        fleet.apply(fleet.processes['n0'], StopRequested())
+        calls += [fleet.call('n2', '/h0', KEY) for _ in range(2)]
+        self.assertEqual(fleet.call('n0', '/h0', KEY).code, 'draining')
+        fleet.announce('n0', slots=9)
+        self.assertTrue(propagation.is_busy(state, fleet.clock.now()))
+        fleet.advance(8000)
+        kinds = {getattr(call.answer, 'kind', call.code) for call in calls}
+        self.assertEqual(kinds, {AttemptKind.answered})
+        self.assertFalse(propagation.is_busy(state, fleet.clock.now()))
+        self.assertFalse(propagation.holds_anything(state))
+        self.assertEqual(
+            [
+                key
+                for key, entry in fleet.store.state.entries.items()
+                if b'n0' in entry.body and key.startswith(('slots', 'claims/o'))
+            ],
+            [],
+        )
+        self.assertEqual(self.nodes_of_later_calls(fleet), {'n1'})
+
+    def test_draining_instance_gets_no_new_call(self):
+        """Other nodes must stop to choose it, its own node at once."""
+        fleet = Fleet(('s0', 's0', 's1'))
+        fleet.drain('n0')
+        fleet.advance(3000)
+        self.assertEqual(self.nodes_of_later_calls(fleet), {'n1'})
+
+    def nodes_of_later_calls(self, fleet):
+        fleet.history.clear()
+        fleet.plan = lambda header: Plan()
+        for _ in range(20):
+            fleet.call('n2', '/low', KEY)
+            fleet.advance(100)
+        return {run.node for run in fleet.history}
+
+    def test_withdrawn_key_starts_no_waiting_call(self):
+        """Queued calls and calls that wait for a claim must not start."""
+        fleet = Fleet(('s0', 's1'), slots=1)
+        fleet.plan = lambda header: Plan(100)
+        fleet.call('n0', '/h0', KEY)
+        queued = fleet.call('n0', '/h0', KEY)
+        claiming = fleet.call('n0', '/order', KEY, 'k1')
+        fleet.edit('n0', WITHOUT_KEY)
+        fleet.advance(1000)
+        self.assertEqual(queued.code, 'key_unknown')
+        self.assertEqual(claiming.code, 'key_unknown')
+        self.assertEqual(len(fleet.history), 1)
+
+    def test_key_that_the_instance_node_has_not_heard_of(self):
+        """A node that is behind must not refuse onward calls of a new key."""
+        fleet = Fleet(('s0', 's1', 's2'))
+        fleet.edit('n0', WITHOUT_KEY)
+        fleet.advance(1000)
+        fleet.cut = {'n0'}
+        fleet.edit('n2', TABLE)
+        fleet.cut = set()
+        fleet.plan = go_onward('/h1')
+        fleet.call('n2', '/h0', KEY)
+        fleet.advance(40)
+        rows = [(run.header.row, run.revision) for run in fleet.history]
+        self.assertEqual(rows[:1], [('h0', 2)])
+        self.assertEqual([row for row, _ in rows], ['h0', 'h1'])
+
+    def test_restart_of_entry_node_denies_retries(self):
+        """Without the ledger, calls further down must end unretried."""
+        fleet = Fleet(('s0', 's1', 's1', 's2'))
+        lost = Plan(30, AttemptKind.lost)
+        fleet.plan = go_onward('/h1', deeper=lost)
+        fleet.call('n3', '/h0', KEY)
+        fleet.advance(10)
+        fleet.crash('n3')
+        fleet.start('n3')
+        fleet.advance(3000)
+        self.assertEqual(len(fleet.history), 2)
+        self.assertEqual(fleet.leaks(), [])
