Test transports over real sockets and read past empty frames

Cause: an empty pynng frame raises RuntimeError in recv, which ended the receiver of the node for good.

--- a/src/jasmineramp/peers.py
+++ b/src/jasmineramp/peers.py
@@ -220,8 +220,12 @@
         while True:
             try:
                 frame = self.listener.recv()
-            except pynng.NNGException:
+            except pynng.Closed:
                 return
+            except (pynng.NNGException, RuntimeError) as error:
+                # pynng raises RuntimeError for an empty frame.
+                self.on_error(MessageError(str(error)))
+                continue
             self.received_bytes += len(frame)
             try:
                 self.on_message(*self.codec.decode(frame))
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,207 @@
+"""Test a node's HTTP server for callers over real sockets."""
+
+import json
+import logging
+import socket
+import threading
+import unittest
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.fakes.sockets import (
+    ScriptedUpstream,
+    announce,
+    answer,
+    connect,
+    start_node,
+    wait_until,
+)
+
+from jasmineramp.actors import Delivery
+from jasmineramp.authentication import digest_key
+from jasmineramp.call_messages import StopRequested, UpstreamAnnounced
+from jasmineramp.credentials import find_key, strip_headers, strip_query
+from jasmineramp.gateway import Gateway
+
+KEY = '0123456789abcdef0123456789abcdef'
+TABLE = {
+    'calls': [
+        {'name': 'get', 'service': 's', 'path': '/', 'timeout_ms': 20_000},
+        {'name': 'open', 'service': 's', 'path': '/open', 'open': True},
+    ],
+    'workspaces': [{'name': 'w', 'rate': 1000, 'burst': 1000}],
+    'keys': [{'digest': digest_key(KEY), 'workspace': 'w'}],
+}
+AUTHORIZED = {'X-Api-Key': KEY}
+
+
+class GatewayCase(unittest.TestCase):
+    """Run one node in this process."""
+
+    def setUp(self) -> None:
+        self.upstream = ScriptedUpstream(self, answer(b'whole'))
+        self.node = start_node(self, TABLE, largest_body_bytes=10_000)
+        announce(self.node, self.upstream.port)
+
+    def get(self, path='/', headers=AUTHORIZED, connection=None):
+        connection = connection or connect(self, self.node)
+        connection.request('GET', path, headers=headers)
+        response = connection.getresponse()
+        return response, response.read()
+
+    def exchange(self, data: bytes) -> tuple[bytes, dict]:
+        host, _, port = self.node.settings.caller.partition(':')
+        with socket.create_connection((host, int(port)), 20) as sock:
+            sock.sendall(data)
+            reply = b''
+            while part := sock.recv(65_536):
+                reply += part
+        head, _, body = reply.partition(b'\r\n\r\n')
+        return head, json.loads(body)
+
+
+class CredentialTest(GatewayCase):
+    """Guard against keys that reach the upstream."""
+
+    def test_no_place_of_a_key_reaches_the_upstream(self) -> None:
+        # Two Cookie headers arrive as one; names may be escaped.
+        cookie = f'a=1, api_key={KEY}; b="x,y"'
+        path = f'/p?b=%20&api%5Fkey={KEY}&api_key={KEY}&flag'
+        places = (
+            ('/', {'Authorization': f'Bearer {KEY}'}),
+            (f'/?api_key={KEY}', {}),
+            ('/', {'Cookie': f'api_key={KEY}'}),
+            (path, {**AUTHORIZED, 'Cookie': cookie, 'Referer': f'/?k={KEY}'}),
+        )
+        for target, headers in places:
+            response, body = self.get(target, headers)
+            self.assertEqual((response.status, body), (200, b'whole'))
+        sent = self.upstream.requests
+        self.assertEqual(len(sent), len(places))
+        self.assertNotIn(KEY.encode(), b''.join(sent))
+        self.assertIn(b'GET /p?b=%20&flag HTTP/1.1', sent[-1])
+        self.assertIn(b'Cookie: a=1; b="x,y"\r\n', sent[-1])
+
+    @given(
+        st.text(), st.text(max_size=5), st.text(alphabet='a=&;, "', max_size=9)
+    )
+    def test_other_parts_of_a_request_stay(self, query, value, cookie) -> None:
+        if 'key' not in query and '%' not in query:
+            self.assertEqual(strip_query(query), query)
+        headers = (('Cookie', f'{cookie}; api_key={KEY}'), ('Other', value))
+        kept = dict(strip_headers(headers, KEY))
+        self.assertEqual(kept['Other'], value)
+        self.assertNotIn(KEY, kept.get('Cookie', ''))
+        self.assertEqual(find_key(headers, ''), KEY)
+
+    def test_a_context_does_not_return_to_the_caller(self) -> None:
+        self.upstream.answers = [
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+            b'Jasmineramp-Context: token\r\n\r\n'
+        ]
+        response, _ = self.get()
+        self.assertIsNone(response.getheader('Jasmineramp-Context'))
+
+
+class MalformedTest(GatewayCase):
+    """Guard against a node that a request ends, or an untyped answer."""
+
+    def test_requests_that_cannot_be_read_get_a_typed_refusal(self) -> None:
+        key = f'X-Api-Key: {KEY}\r\n'.encode()
+        cases = (
+            (b'GET / HTTP/1.1\r\nno colon\r\n\r\n', 400, 'request_malformed'),
+            (b'GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n', 400, ''),
+            (b'GET / HTTP/1.1\r\nTransfer-Encoding: x\r\n\r\n', 400, ''),
+            (b'GET / HTTP/1.1\r\nA: ' + b'x' * 300_000, 400, ''),
+            (
+                b'PUT / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n',
+                413,
+                'body_too_large',
+            ),
+        )
+        for data, status, code in cases:
+            head, refusal = self.exchange(data)
+            self.assertIn(b' %d ' % status, head[:13])
+            self.assertEqual(refusal['code'], code or 'request_malformed')
+            self.assertEqual(refusal['run'], 'not_run')
+        for path in (b'/\xe9', b'/open/../x', b'//open', b'/a\\b', b'/%00'):
+            close = b' HTTP/1.1\r\nConnection: close\r\n' + key + b'\r\n'
+            _, refusal = self.exchange(b'GET ' + path + close)
+            self.assertEqual(refusal['code'], 'request_malformed')
+        self.assertEqual(self.upstream.requests, [])
+        self.assertEqual(self.get()[1], b'whole')
+
+    def test_half_a_request_neither_runs_nor_stops_others(self) -> None:
+        host, _, port = self.node.settings.caller.partition(':')
+        for _ in range(self.node.settings.caller_threads + 2):
+            sock = socket.create_connection((host, int(port)))
+            self.addCleanup(sock.close)
+            sock.sendall(b'PUT / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf')
+        self.assertEqual(self.get()[1], b'whole')
+        self.assertEqual(len(self.upstream.requests), 1)
+
+    def test_a_fault_in_the_node_is_answered_with_a_typed_refusal(self) -> None:
+        logging.getLogger('waitress').setLevel(logging.CRITICAL)
+        with mock.patch.object(Gateway, '_read_call', side_effect=KeyError):
+            response, body = self.get()
+        self.assertEqual(response.status, 500)
+        refusal = json.loads(body)
+        self.assertEqual(refusal['code'], 'internal_error')
+        self.assertEqual(refusal['run'], 'unknown')
+
+
+class FaultTest(GatewayCase):
+    """Guard against a node that goes on without its actor."""
+
+    def test_a_fault_in_one_event_does_not_end_the_actor(self) -> None:
+        broken = Delivery(UpstreamAnnounced(None))
+        self.node.actor.tell(broken)
+        self.node.actor.ask(Delivery(StopRequested()))
+        self.assertTrue(self.node.state.stopping)
+
+
+class StopTest(GatewayCase):
+    """Guard against a stop that cuts off responses or kept callers."""
+
+    def test_a_running_call_ends_whole_and_kept_callers_are_told(self) -> None:
+        release = threading.Event()
+
+        def respond(sock: socket.socket, request: bytes) -> None:
+            release.wait(20)
+            sock.sendall(answer(b'x' * 5_000_000))
+
+        self.upstream.answers = [respond]
+        results = []
+        kept = connect(self, self.node)
+        caller = threading.Thread(
+            target=lambda: results.append(self.get(connection=kept))
+        )
+        caller.start()
+        wait_until(lambda: self.upstream.requests)
+        stop = threading.Thread(target=self.node.stop)
+        stop.start()
+        wait_until(lambda: self.node.state.stopping)
+        refused, body = self.get()
+        self.assertEqual(json.loads(body)['code'], 'draining')
+        self.assertEqual(refused.getheader('Connection'), 'close')
+        release.set()
+        caller.join()
+        stop.join()
+        response, body = results[0]
+        self.assertEqual((response.status, len(body)), (200, 5_000_000))
+        self.assertEqual(response.getheader('Connection'), 'close')
+
+    def test_a_response_is_not_cut_off_while_a_caller_reads_slowly(
+        self,
+    ) -> None:
+        self.upstream.answers = [answer(b'x' * 20_000_000)]
+        connection = connect(self, self.node)
+        connection.request('GET', '/', headers=AUTHORIZED)
+        wait_until(lambda: self.upstream.requests)
+        wait_until(lambda: not self.node.dispatcher.inspect(lambda s: s.calls))
+        stop = threading.Thread(target=self.node.stop)
+        stop.start()
+        wait_until(lambda: self.node.state.stopping)
+        self.assertEqual(len(connection.getresponse().read()), 20_000_000)
+        stop.join()
