--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -255,8 +255,7 @@
         # the calls the limit lets through, and would raise the limit.
         may_rise = self.limit >= self.ceiling or not self._is_busy()
         for row in self.rows.values():
-            # A descent itself decides whether its latency is usual.
-            if row.count and self.descent is None:
+            if row.count:
                 _follow(row, elapsed, may_rise=may_rise)
             row.total = 0
             row.count = 0
