--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -11,9 +11,14 @@
 from jasmineramp import idempotency
 from jasmineramp.claim_archive import HOUR_MS, RETENTION_MS, EndedClaims
 from jasmineramp.claim_log import log_key
-from jasmineramp.claim_messages import ClaimEnd, ClaimVerdict
+from jasmineramp.claim_messages import (
+    ClaimAnswer,
+    ClaimEnd,
+    ClaimVerdict,
+    OutcomeAnswer,
+)
 from jasmineramp.claim_refusals import describe_refusal
-from jasmineramp.claim_settings import HAND_BACK_MS
+from jasmineramp.claim_settings import HAND_BACK_MS, ClaimSettings
 from jasmineramp.claim_table import (
     RESPONSE_LIMIT_BYTES,
     RESPONSES_LIMIT_BYTES,
@@ -21,9 +26,20 @@
     ClaimTable,
 )
 from jasmineramp.clock import Millis
-from jasmineramp.ids import DomainId, NodeId, PartitionId
+from jasmineramp.ids import (
+    CallId,
+    DomainId,
+    IdempotencyKey,
+    NodeId,
+    PartitionId,
+)
 from jasmineramp.refusals import RefusalCode
-from tests.fakes.claims import STORE_TIMEOUT_MS, ClaimFleet, Network
+from tests.fakes.claims import (
+    STORE_TIMEOUT_MS,
+    WORKSPACE,
+    ClaimFleet,
+    Network,
+)
 from tests.fakes.store import Faults
 
 START_MS = 4000.0
@@ -315,6 +331,25 @@
         self.fleet.advance(1100)
         self.assertEqual(self.fleet.verdict(call_id), ClaimVerdict.unavailable)
 
+    def test_late_grant_of_a_released_claim_is_released_again(self) -> None:
+        settings = ClaimSettings(NodeId('n1'), 1, DOMAINS[0], DOMAINS)
+        state = idempotency.ClaimState(settings, 1)
+        owner = NodeId('n0')
+        members = {owner: DOMAINS[0], NodeId('n1'): DOMAINS[0]}
+        idempotency.set_members(state, members, Millis(0))
+        call = idempotency.ClaimCall(
+            CallId('c'), WORKSPACE, IdempotencyKey('k'), 1, 2000
+        )
+        (sent,) = idempotency.claim(state, call, Millis(0))
+        _, release = idempotency.tick(state, Millis(1000))
+        token = sent.message.token
+        for message in (
+            OutcomeAnswer(PartitionId(0), token, accepted=True),
+            ClaimAnswer(PartitionId(0), token, ClaimVerdict.granted),
+        ):
+            effects = idempotency.receive(state, owner, message, Millis(1100))
+        self.assertEqual(effects, [release])
+
     def test_summaries_and_records_are_both_read(self) -> None:
         with mock.patch('jasmineramp.claim_owner.RECORDS_PER_PERIOD', 3):
             for index in range(8):
@@ -391,6 +426,24 @@
         fleet.advance(HAND_BACK_MS + FAILOVER_MS)
         self.assertEqual((fleet.owner(0), fleet.owner(1)), ('n2', 'n1'))
 
+    def test_former_candidate_finds_the_new_owner(self) -> None:
+        fleet = ClaimFleet(nodes=3, domains=DOMAINS)
+        fleet.crash(NodeId('n0'))
+        fleet.update_views()
+        fleet.advance(FAILOVER_MS)
+        fleet.network.cut = {NodeId('n1')}
+        fleet.advance(7000)
+        fleet.network.cut = set()
+        fleet.start(NodeId('n0'))
+        fleet.advance(7000)
+        fleet.crash(NodeId('n1'))
+        fleet.start(NodeId('n1'))
+        fleet.advance(FAILOVER_MS)
+        self.assertEqual(fleet.owner(), 'n0')
+        call_id = fleet.call(NodeId('n2'), 'k')
+        fleet.advance(1100)
+        self.assertEqual(fleet.verdict(call_id), ClaimVerdict.granted)
+
     def test_stopping_owner_hands_over_before_its_lease_lapses(self) -> None:
         fleet = ClaimFleet(nodes=2, domains=DOMAINS)
         fleet.advance(START_MS)
