--- a/tests/fakes/claims.py
+++ b/tests/fakes/claims.py
@@ -23,7 +23,6 @@
 )
 from jasmineramp.store_messages import (
     Get,
-    Operation,
     Outcome,
     StoreAnswer,
     StoreAnswered,
@@ -79,7 +78,6 @@
         self.incarnations: collections.Counter[NodeId] = collections.Counter()
         self.nodes: dict[NodeId, Node] = {}
         self.runs: collections.Counter[str] = collections.Counter()
-        self.released: collections.Counter[str] = collections.Counter()
         self.calls: dict[CallId, tuple[str, ClaimEnd, float]] = {}
         self.decided: dict[CallId, ClaimDecided] = {}
         self.decided_at: dict[CallId, float] = {}
@@ -228,10 +226,7 @@
             )
             self.reply(node, process, request, StoreAnswer(Outcome.unknown))
             return
-        self.reply(node, process, request, self.run_operation(operation))
-
-    def run_operation(self, operation: Operation) -> StoreAnswer:
-        return self.store.run(operation)
+        self.reply(node, process, request, self.store.run(operation))
 
     def reply(
         self,
