--- a/tests/fakes/claims.py
+++ b/tests/fakes/claims.py
@@ -251,10 +251,8 @@
         self.decided_at[decided.call_id] = self.clock.now()
         if decided.verdict is ClaimVerdict.granted:
             key, end, duration = self.calls[decided.call_id]
-            counter = (
-                self.runs if end is not ClaimEnd.not_run else self.released
-            )
-            counter[key] += 1
+            if end is not ClaimEnd.not_run:
+                self.runs[key] += 1
             item = ('finish', decided.call_id, end)
             self.post(duration, node, process, item)
 
