Make the state machine find more removed mechanisms

Idle borrowers returned their loans before the end, the narrow bucket kept its owner for every number of rate slots, and messages were rarely late.

--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -31,9 +31,12 @@
 )
 from jasmineramp.rate_state import OpenRequest
 
-BUCKETS = (BucketId('wide'), BucketId('narrow'))
+# The owner of the second bucket differs for 2, 3 and 4 rate slots.
+BUCKETS = (BucketId('wide'), BucketId('narrow-2'))
 ROUNDING = 1e-6
 DAY_MS = 86_400_000
+# Refused calls per step raise the demand, so that nodes borrow rate.
+REFUSED_CALLS = 5
 
 
 def make_table(revision, slots, limits):
@@ -141,6 +144,8 @@
         while admitted < most:
             taken = rates.take(self.state, name, now)
             if not isinstance(taken, rates.RateTaken):
+                for _ in range(REFUSED_CALLS):
+                    rates.take(self.state, name, now)
                 break
             self.cluster.histories[name].admit(at)
             admitted += 1
@@ -162,7 +167,7 @@
         self.sessions = itertools.count(1)
         self.histories = defaultdict(History)
         self.loss = self.repeats = 0.0
-        self.longest_delay = 2.0
+        self.delays = (1.0, 1.0)
         self.group = [0] * size
         self.flight = []
         self.tables = [make_table(1, size, limits)]
@@ -225,9 +230,7 @@
     def send(self, sender, node, message):
         for _ in range(1 + (self.random.random() < self.repeats)):
             if self.random.random() >= self.loss:
-                delay = self.random.choice(
-                    (1.0, self.random.uniform(0, self.longest_delay))
-                )
+                delay = self.random.uniform(*self.delays)
                 at = self.now + delay
                 self.flight.append((at, sender, node, message))
 
@@ -289,13 +292,17 @@
     @initialize(
         seed=st.integers(0, 1 << 20),
         size=st.integers(2, 4),
-        rate=st.sampled_from((20, 200)),
+        rate=st.sampled_from((20, 200, 2000)),
         bursts=st.sampled_from(((12, 1), (40, 3), (9, 5))),
         slowest=st.sampled_from((1.0, 1 / 1.01)),
+        repeats=st.sampled_from((0, 0.5)),
+        delays=st.sampled_from(((1, 1), (0, 100), (100, 4900))),
     )
-    def begin(self, seed, size, rate, bursts, slowest):
+    def begin(self, *, seed, size, rate, bursts, slowest, repeats, delays):
         limits = [(rate, burst) for burst in bursts]
         self.cluster = Cluster(seed, size, limits, slowest)
+        self.cluster.repeats = repeats
+        self.cluster.delays = delays
         self.cluster.run(1000, {seed % size})
 
     def pick(self, index):
@@ -324,15 +331,17 @@
         """Spend all tokens right before and after a loan ends."""
         cluster = self.cluster
         ends = [
-            (piece.until - one.origin) / one.speed
+            ((piece.until - one.origin) / one.speed, one.index)
             for one in cluster.awake()
             for bucket in one.state.buckets.values()
             for piece in bucket.borrowed.values()
         ]
-        if ends:
+        end, index = max(ends, default=(0, 0))
+        if end > cluster.now + early:
             loss, cluster.loss = cluster.loss, 1 if lost else cluster.loss
-            rest = max(ends) - early - cluster.now
-            cluster.run(rest, step=50.0)
+            # An idle borrower would return its loans early.
+            rest = end - early - cluster.now
+            cluster.run_without(cluster.processes[index], rest, ())
             cluster.surge()
             cluster.run(early + 120, range(4), step=5.0)
             cluster.loss = loss
@@ -340,12 +349,14 @@
     @rule(
         loss=st.sampled_from((0, 0.1, 0.5)),
         repeats=st.sampled_from((0, 0.5)),
-        delay=st.sampled_from((1, 100, 6000)),
+        delays=st.sampled_from(
+            ((1, 1), (0, 100), (0, 6000), (100, 200), (4000, 4900))
+        ),
     )
-    def disturb(self, loss, repeats, delay):
+    def disturb(self, loss, repeats, delays):
         self.cluster.loss = loss
         self.cluster.repeats = repeats
-        self.cluster.longest_delay = delay
+        self.cluster.delays = delays
 
     @rule(groups=st.lists(st.integers(0, 1), min_size=4, max_size=4))
     def partition(self, groups):
@@ -394,6 +405,14 @@
     def crash(self, index):
         self.cluster.processes[self.pick(index)] = None
 
+    @rule(index=st.integers(0, 3), loaded=st.integers(0, 3))
+    def restart_lender(self, index, loaded):
+        """Let a node lend, lose its memory and then use all it has."""
+        cluster = self.cluster
+        cluster.run(400, {self.pick(loaded)})
+        self.restart(index)
+        self.surge_at_end_of_loan(lost=True, early=1)
+
     @rule(index=st.integers(0, 3))
     def restart(self, index):
         index = self.pick(index)
@@ -441,6 +460,15 @@
         cluster.tables.append(table)
         cluster.record_limits()
 
+    @rule(index=st.integers(0, 3), slots=st.integers(2, 4))
+    def edit_at_one_node(self, index, slots):
+        """Let one node adopt a table that names other owners."""
+        self.edit(slots=slots, limits=((200, 5), (200, 3)))
+        for _ in self.cluster.tables:
+            self.adopt(index)
+        self.cluster.run(3000, step=50.0)
+        self.cluster.surge()
+
     @rule(index=st.integers(0, 3))
     def adopt(self, index):
         cluster = self.cluster
@@ -484,7 +512,7 @@
 class SharesTest(SharesMachine.TestCase):
     """Guard against calls over the rate and burst of the whole fleet."""
 
-    settings = settings(max_examples=200, stateful_step_count=30, deadline=None)
+    settings = settings(max_examples=300, stateful_step_count=30, deadline=None)
 
 
 LENDER, BORROWER = NodeId('lender'), NodeId('borrower')
