--- a/src/jasmineramp/membership_state.py
+++ b/src/jasmineramp/membership_state.py
@@ -83,10 +83,6 @@
         answered = sum(found for _, found in self.by_node.values())
         return bool(answered) and answered * 2 >= len(self.by_node)
 
-    def clear(self) -> None:
-        """Forget all results."""
-        self.by_node.clear()
-
     def _drop_old(self, now: float) -> None:
         while self.by_node:
             node, (time, _) = next(iter(self.by_node.items()))
@@ -304,9 +300,6 @@
     state.confirm_until = now + CONFIRM_MS
     # Late answers to pings from before the pause confirm nothing.
     state.probes.clear()
-    # Without fresh results nobody is suspected or declared dead.
-    state.own_results.clear()
-    state.foreign_results.clear()
     state.answered_at = now
     state.announced_at = max(state.announced_at, now - ANNOUNCEMENT_GRACE_MS)
     state.sync_at = now
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -364,18 +364,19 @@
 
     def test_isolated_node_soon_relies_on_itself_only(self) -> None:
         network = Network({'a': 30, 'b': 4})
-        network.groups['a-0'] = 1
+        network.groups['a-5'] = 1
         network.run(9_000)
-        self.assertEqual(network.alive('a-0'), ['a-0'])
+        self.assertEqual(network.alive('a-5'), ['a-5'])
         suspects = [
             entry
-            for entry in network.states['a-0'].view.entries.values()
+            for entry in network.states['a-5'].view.entries.values()
             if entry.status
         ]
         self.assertLess(len(suspects), 6)
+        network.run(30_000)
         network.heal()
-        network.run(5_000)
-        self.assertEqual(network.alive('a-0'), sorted(network.states))
+        network.run(3_500)
+        self.assertEqual(network.alive('a-5'), sorted(network.states))
 
     def test_answer_releases_a_member_while_cut_off(self) -> None:
         network = Network({'a': 12, 'b': 4})
@@ -633,7 +634,7 @@
             membership.leave(network.states['a-1'], Millis(network.now)),
         )
         network.upstreams['a-1'] = None
-        network.run(2_500)
+        network.run(100)
         for observer in set(network.states) - {'a-1'}:
             self.assertNotIn('a-1', network.alive(observer))
 
@@ -694,6 +695,22 @@
             newest = membership.newest_revision(network.states['b-0'])
             self.assertEqual(newest[0], revision)
 
+    def test_indirect_answer_does_not_count_as_a_report(self) -> None:
+        network = Network({'a': 40})
+        blocked = network.is_blocked
+        network.is_blocked = lambda sender, target: (
+            {sender, target}
+            == {
+                'a-0',
+                'a-5',
+            }
+        )
+        membership.set_revision(network.states['a-5'], Revision(9))
+        network.run(4_000)
+        network.is_blocked = blocked
+        network.run(700)
+        self.assertEqual(network.entry('a-0', 'a-5').revision, 9)
+
     def test_changes_report_every_difference_of_the_instances(self) -> None:
         network = Network(SMALL)
         state = network.states['c-0']
