--- a/src/jasmineramp/gateway.py
+++ b/src/jasmineramp/gateway.py
@@ -1,7 +1,9 @@
 """Serve callers and the own upstream over HTTP."""
 
+import contextlib
 import posixpath
 import secrets
+import socket
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Annotated, Any, Literal
@@ -42,6 +44,7 @@
 _LONGEST_IDEMPOTENCY_KEY = 255
 _MILLIS_PER_SECOND = 1000
 _CANCELLED = 499
+_DISCARDED_BYTES = 65_536
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -74,6 +77,7 @@
         refusal = Refusal(code, run)
         body = b''.join(_send_refusal(refusal, self._start))
         self.set_close_on_finish()
+        self.channel.lingers = True
         self.content_length = len(body)
         self.write(body)
 
@@ -98,6 +102,35 @@
     task_class = CallerTask
     error_task_class = RefusalTask
 
+    # Closing with unread data resets the connection, which can destroy the
+    # refusal of a request that is too large.
+    lingers = False
+    lingering = False
+
+    def readable(self) -> bool:
+        """Tell whether to wait for data."""
+        return self.lingering or super().readable()
+
+    def writable(self) -> bool:
+        """Tell whether to wait until data can be sent."""
+        return not self.lingering and super().writable()
+
+    def handle_read(self) -> None:
+        """Read data; discard what follows a request that is too large."""
+        if self.lingering:
+            self.recv(_DISCARDED_BYTES)
+        else:
+            super().handle_read()
+
+    def handle_close(self) -> None:
+        """Close the connection, after the caller has if it lingers."""
+        if self.lingers and not self.lingering and self.connected:
+            self.lingering = True
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_WR)
+                return
+        super().handle_close()
+
 
 def is_busy(server: Any) -> bool:
     """Tell whether a request runs or a response is not yet sent."""
--- a/tests/fakes/sockets.py
+++ b/tests/fakes/sockets.py
@@ -70,7 +70,7 @@
                 ).start()
 
     def _serve(self, sock: socket.socket) -> None:
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError), sock:
             while request := read_request(sock):
                 self.requests.append(request)
                 step = self.answers[0]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
+from jasmineramp.actors import Delivery
+from jasmineramp.authentication import digest_key
+from jasmineramp.call_messages import StopRequested, UpstreamAnnounced
+from jasmineramp.credentials import find_key, strip_headers, strip_query
+from jasmineramp.gateway import Gateway
 from tests.fakes.sockets import (
     ScriptedUpstream,
     announce,
@@ -18,12 +24,6 @@
     wait_until,
 )
 
-from jasmineramp.actors import Delivery
-from jasmineramp.authentication import digest_key
-from jasmineramp.call_messages import StopRequested, UpstreamAnnounced
-from jasmineramp.credentials import find_key, strip_headers, strip_query
-from jasmineramp.gateway import Gateway
-
 KEY = '0123456789abcdef0123456789abcdef'
 TABLE = {
     'calls': [
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,6 @@
 
 import msgspec
 import pynng
-from tests.fakes.sockets import free_port, wait_until
 
 from jasmineramp.call_messages import (
     Attempt,
@@ -29,6 +28,7 @@
     HopRequest,
     PeerNetwork,
 )
+from tests.fakes.sockets import free_port, wait_until
 
 GET = HttpRequest('GET', '/', (), b'')
 ANSWERED = Attempt(AttemptKind.answered, 200)
@@ -106,7 +106,7 @@
         self.peer = self.open(lambda _, message: self.requests.put(message))
         self.network = self.open(
             lambda _, message: self.runner.accept_answer(message),
-            lambda address: self.runner.lose_link(address),
+            lambda address: self.runner.lose_link(str(address)),
         )
         self.clock = MonotonicClock()
         self.runner = CallRunner(
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,12 +5,11 @@
 import threading
 import unittest
 
-from tests.fakes.sockets import ScriptedUpstream, answer, wait_until
-
 from jasmineramp.call_messages import AttemptKind, CallHeader, RunHere
 from jasmineramp.clock import MonotonicClock
 from jasmineramp.http_messages import HttpRequest
 from jasmineramp.upstreams import UpstreamClient
+from tests.fakes.sockets import ScriptedUpstream, answer, wait_until
 
 GET = HttpRequest('GET', '/', (), b'')
 LONG_MS = 20_000
