Break a call whose body lasts until the close at its deadline

Cause: http.client drops its socket for a body without a length, so the watcher had none to shut down and a trickling response ran on; the test of it hung. Conclusion: the run keeps the socket; tests.test_upstreams passes in 0.5 s.

--- a/src/jasmineramp/upstreams.py
+++ b/src/jasmineramp/upstreams.py
@@ -63,7 +63,7 @@
 class _Run(msgspec.Struct):
     """Hold a running call; broken says why its connection was broken."""
 
-    connection: HTTPConnection
+    sock: socket.socket
     deadline: float
     caller_left: CallerCheck
     broken: AttemptKind | None = None
@@ -130,7 +130,8 @@
             connection = self._connect(decision.port, seconds)
         except _FAILURES:
             return UpstreamResult(Attempt(AttemptKind.unreachable))
-        run = _Run(connection, decision.deadline, caller_left)
+        # http.client drops its socket when a body lasts until the close.
+        run = _Run(connection.sock, decision.deadline, caller_left)
         call_id = decision.header.call_id
         with self.lock:
             self.busy[call_id] = run
@@ -284,10 +285,8 @@
     if run.broken is not None:
         return
     run.broken = reason
-    sock = run.connection.sock
-    if sock is not None:
-        with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):
+        run.sock.shutdown(socket.SHUT_RDWR)
 
 
 def _is_timeout(error: BaseException) -> bool:
