Wait for an accepted table in the tests of whole nodes

Cause: since membership takes 3 s to confirm its view, the table of the fake fleet is accepted only after the 4 s that the tests waited, so buckets had no base share and calls were parked. The fleet now waits for the acceptance.

--- a/src/jasmineramp/calls.py
+++ b/src/jasmineramp/calls.py
@@ -1,6 +1,13 @@
 """Lead a call from its arrival at a node to its first attempt."""
 
-from jasmineramp import hops, idempotency, rates, retries, routing
+from jasmineramp import (
+    claim_refusals,
+    hops,
+    idempotency,
+    rates,
+    retries,
+    routing,
+)
 from jasmineramp.call_endings import close, refuse, refuse_early
 from jasmineramp.call_messages import (
     CallArrived,
@@ -274,7 +281,7 @@
             decided.response,
         )
         return [Decide(decided.call_id, replayed)]
-    refusal = idempotency.describe_refusal(decided)
+    refusal = claim_refusals.describe_refusal(decided)
     return refuse(state, call, refusal, now)
 
 
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -91,6 +91,14 @@
         for node in self.upstreams:
             self.start(node)
         self.advance(4000)
+        self.advance_until(self.is_accepted)
+
+    def is_accepted(self):
+        """Tell whether every node knows that the table is accepted."""
+        return all(
+            process.state.accepted_revision == self.revision
+            for process in self.processes.values()
+        )
 
     def start(self, node):
         self.starts[node] += 1
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,6 +21,7 @@
 from jasmineramp.clock import MonotonicClock
 from jasmineramp.exceptions import AddressInUseError, SettingsError
 from jasmineramp.http_messages import HttpRequest, HttpResponse
+from jasmineramp.metrics import CallMetrics, NoSink
 from jasmineramp.peers import (
     PROTOCOL_VERSION,
     Envelope,
@@ -116,6 +117,7 @@
             network=self.network,
             executor=mock.Mock(),
             peer_address=self.network.address,
+            metrics=CallMetrics(NoSink(), self.clock),
         )
 
     def forward(self, call_id: str, within: float = 20_000):
