--- a/src/jasmineramp/rate_borrowing.py
+++ b/src/jasmineramp/rate_borrowing.py
@@ -76,7 +76,7 @@
             bucket.advance(now)
             until = Millis(request.sent + min(loan.term, TERM_MS))
             bucket.renew_borrowed(renewed, until)
-    for name in changed:
+    for name in sorted(changed):
         _ask_again(state, name)
     return frozenset(changed)
 
@@ -292,7 +292,7 @@
         state.wake_at = NEVER
     elif not state.has_output:
         return []
-    for name in state.asking:
+    for name in sorted(state.asking):
         _ask_tokens(state, name, now)
     state.asking.clear()
     messages = []
--- a/src/jasmineramp/rate_state.py
+++ b/src/jasmineramp/rate_state.py
@@ -132,7 +132,7 @@
         # The bucket may come back while parts of its share are still lent.
         state.retired[name] = state.buckets.pop(name)
         state.borrowers.pop(name)
-    for name in names - state.buckets.keys():
+    for name in sorted(names - state.buckets.keys()):
         bucket = state.retired.pop(name, None)
         state.buckets[name] = bucket or Bucket(name, state.index, now)
         state.borrowers[name] = Borrower()
