--- a/src/jasmineramp/rate_lending.py
+++ b/src/jasmineramp/rate_lending.py
@@ -139,7 +139,7 @@
 
 def _renew_one(state: RateState, key: LentKey, now: Millis) -> bool:
     bucket = state.index.get(key)
-    if bucket is None:
+    if bucket is None or bucket.identity not in state.borrowers:
         return False
     bucket.advance(now)
     piece = bucket.lent.get(key)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -793,6 +793,19 @@
             rates.accept_limits(state, table.revision, now)
         self.assertLess(state.buckets[WIDE].held, 500)
 
+    def test_loan_of_a_removed_row_is_not_renewed(self):
+        """Guards against a message that stops the node of the lender."""
+        pair = Pair()
+        sent, request = pair.request(1000)
+        pair.accept(pair.lend(request, sent + 1), sent + 2)
+        renewed, longer = pair.renewal(sent + 2)
+        state = pair.states[LENDER]
+        table = make_table(2, 2, [None])
+        now = pair.clock(LENDER, renewed)
+        rates.set_limits(state, table, now)
+        rates.accept_limits(state, table.revision, now)
+        self.assertEqual(pair.lend(longer, renewed + 1).renewed, ())
+
 
 class TakeTest(unittest.TestCase):
     """Guard the results that callers act on."""
