--- a/src/jasmineramp/exchange.py
+++ b/src/jasmineramp/exchange.py
@@ -33,7 +33,7 @@
 PROMISE_LIFE_MS = 1500.0
 SUMMARY_LIFE_MS = 3000.0
 SUMMARY_INTERVAL_MS = 1000.0
-MOST_LENDERS = 64
+MOST_LENDERS = 128
 FEWEST_LENDERS = 8
 SUMMARY_LENDERS = 16
 MOST_OWNERS = 16
@@ -157,21 +157,18 @@
     for bucket, seen in state.seen.items():
         known = [one for name, one in seen.items() if name in local]
         if known:
-            idle = _idle_lenders(state, state.domain, bucket)
-            named = (
+            named = [
                 Lender(name, one.spare)
                 for name, one in seen.items()
                 if name in local and one.spare > SMALLEST_SPARE
-            )
-            lenders = tuple(
-                itertools.islice(itertools.chain(named, idle), SUMMARY_LENDERS)
-            )
+            ]
+            lenders = (*named, *_idle_lenders(state, state.domain, bucket))
             demands.append(
                 DomainDemand(
                     bucket,
-                    sum(one.rate for one in lenders),
-                    sum(one.wanted for one in known),
-                    lenders,
+                    round(sum(one.rate for one in lenders), 3),
+                    round(sum(one.wanted for one in known), 3),
+                    lenders[:SUMMARY_LENDERS],
                 )
             )
     return DomainSummary(state.domain, tuple(demands))
@@ -280,6 +277,25 @@
             for lender in listed.lenders:
                 if lender.node not in seen:
                     yield lender
+            yield from _unlisted_lenders(state, domain, listed)
+
+
+def _unlisted_lenders(
+    state: ExchangeState, domain: DomainId, listed: DomainDemand
+) -> Iterator[Lender]:
+    """Yield the other nodes with an equal part of what is left to lend."""
+    seen = state.seen[listed.bucket]
+    named = {lender.node for lender in listed.lenders}
+    others = [
+        member.node
+        for member in state.members.get(domain, ())
+        if member.node not in named and member.node not in seen
+    ]
+    rate = listed.spare - sum(lender.rate for lender in listed.lenders)
+    if others and rate > SMALLEST_SPARE:
+        state.random.shuffle(others)
+        for node in others:
+            yield Lender(node, round(rate / len(others), 3))
 
 
 def _idle_lenders(
--- a/src/jasmineramp/rates.py
+++ b/src/jasmineramp/rates.py
@@ -209,7 +209,9 @@
     demands = []
     for name, borrower in state.borrowers.items():
         bucket = state.buckets[name]
-        if borrower.need or bucket.borrowed or bucket.lent:
+        # A node that has become idle says so once: its rate is spare.
+        in_use = borrower.need or borrower.told_need
+        if in_use or bucket.borrowed or bucket.lent:
             bucket.advance(now)
             if borrower.must_report(bucket.held, now):
                 demands.append(demand(bucket, borrower))
