Let buckets fill before the tests of whole nodes begin

Cause: a share starts with an empty bucket once the table is accepted, so the first call of a test was parked for a loan. Checks: test_calls, test_hops, test_reducer, test_promises and test_peers pass.

--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -92,6 +92,8 @@
             self.start(node)
         self.advance(4000)
         self.advance_until(self.is_accepted)
+        # Buckets start empty.
+        self.advance(1000)
 
     def is_accepted(self):
         """Tell whether every node knows that the table is accepted."""
