Wake the ticker for parked calls and record the measurements

Cause: a call parked for a loan was tried again only by the next tick, up to 50 ms after its tokens were there; the rate policy names the time in wake_at. The ticker now wakes at that time, and parked calls are tried before more rate is asked for.

--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -12,6 +12,7 @@
 import time
 
 import fire
+import psutil
 
 from bench.fleet import Fleet, Instance
 
@@ -60,6 +61,26 @@
     return times
 
 
+def _print_processor_time(
+    fleet: Fleet, name: str, address: str, calls: int, rate: float
+) -> None:
+    """Print the processor time of the nodes for each call of one path."""
+    processes = [
+        psutil.Process(fleet.processes[node].pid) for node in fleet.names()
+    ]
+    before = [sum(process.cpu_times()[:2]) for process in processes]
+    _measure({name: address}, calls, rate)
+    after = [sum(process.cpu_times()[:2]) for process in processes]
+    spent = [
+        1000 * (late - early) / (calls + WARM_UP)
+        for early, late in zip(before, after, strict=True)
+    ]
+    print(
+        f'{name:10} processor time a call: node of the instance '
+        f'{spent[0]:.3f} ms, other node {spent[1]:.3f} ms'
+    )
+
+
 def run(calls: int = 2000, repetitions: int = 3, rate: float = 180) -> None:
     """Print the cost of a call; rate is calls a second on each path."""
     instances = [
@@ -76,6 +97,8 @@
             'two nodes': fleet.caller(1),
         }
         runs = [_measure(targets, calls, rate) for _ in range(repetitions)]
+        for name in ('one node', 'two nodes'):
+            _print_processor_time(fleet, name, targets[name], calls, rate)
     finally:
         fleet.close()
     for name in targets:
--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -15,7 +15,7 @@
     Decide,
     TableLoaded,
 )
-from jasmineramp.clock import Clock
+from jasmineramp.clock import Clock, Millis
 from jasmineramp.effects import (
     CountRefusal,
     Effect,
@@ -31,6 +31,8 @@
 from jasmineramp.store_messages import StoreRequest
 
 TICK_MS = 50
+SHORTEST_TICK_MS = 2
+MILLIS_PER_SECOND = 1000
 
 _log = get_logger(__name__)
 
@@ -86,6 +88,8 @@
         self.performer = performer
         self.lock = threading.Lock()
         self.waiters: dict[CallId, Waiter] = {}
+        self.wake = threading.Event()
+        self.tick_at: float = 0
 
     def apply(self, delivery: Delivery) -> None:
         """Apply one event and perform its effects."""
@@ -97,6 +101,8 @@
             effects = reduce(self.state, delivery.event, self.clock.now())
             for effect in effects:
                 self.perform(effect)
+            if self.state.rates.wake_at < self.tick_at - SHORTEST_TICK_MS:
+                self.wake.set()
 
     def inspect(self, function: Callable[[NodeState], _ResultT]) -> _ResultT:
         """Evaluate a function of the state."""
@@ -163,7 +169,7 @@
 
 
 class Ticker:
-    """Apply a tick every 50 ms from a thread of its own."""
+    """Apply a tick every 50 ms, or earlier when a parked call is due."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self.dispatcher = dispatcher
@@ -181,8 +187,18 @@
     def close(self) -> None:
         """Apply no more ticks."""
         self.stopped.set()
+        self.dispatcher.wake.set()
 
     def _run(self) -> None:
         tick = Delivery(Tick())
-        while not self.stopped.wait(TICK_MS / 1000):
-            self.dispatcher.apply(tick)
+        dispatcher = self.dispatcher
+        while not self.stopped.is_set():
+            now = dispatcher.clock.now()
+            due = dispatcher.inspect(lambda state: state.rates.wake_at)
+            soonest = max(now + SHORTEST_TICK_MS, due)
+            due = Millis(min(now + TICK_MS, soonest))
+            dispatcher.tick_at = due
+            if dispatcher.wake.wait((due - now) / MILLIS_PER_SECOND):
+                dispatcher.wake.clear()
+            else:
+                dispatcher.apply(tick)
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -48,7 +48,7 @@
 from jasmineramp.settings import Settings, split_address
 from jasmineramp.state import NodeState
 from jasmineramp.store_budget import StoreBudget
-from jasmineramp.store_http import HttpStore
+from jasmineramp.store_http import BudgetedStore, HttpStore
 from jasmineramp.store_messages import StoreAnswered, StoreRequest
 from jasmineramp.store_worker import StoreWorker
 from jasmineramp.upstreams import UpstreamClient
@@ -119,7 +119,6 @@
         self.clock = clock or MonotonicClock()
         self.stack = contextlib.ExitStack()
         self.addresses: dict[NodeId, str] = {}
-        self.store = HttpStore(settings.platform) if settings.platform else None
         self.records = NodeRecords(settings.node, self.clock)
         self.on_drain: Callable[[], None] = _do_nothing
         self.http_servers: list[Any] = []
@@ -167,7 +166,7 @@
         """Run a store operation in the background."""
         table = self.state.configuration.table
         if table is not None:
-            self.store_worker.budget.nodes = table.rate_slots
+            self.store_budget.nodes = table.rate_slots
         self.store_worker.submit(request)
 
     def record(self, event: RecordEvent) -> None:
@@ -209,16 +208,17 @@
         )
         self.upstream = UpstreamClient(self.clock)
         self.stack.callback(self.upstream.close)
-        if self.store is not None:
-            self.stack.callback(self.store.close)
         self.executor = ThreadPoolExecutor(settings.run_threads, 'run')
         self.stack.callback(self._shut_down, self.executor)
-        self.store_worker = StoreWorker(
-            self.store,
-            StoreBudget(self.state.random.getrandbits(32)),
-            self.clock,
-            self._deliver_answer,
-        )
+        self.store_budget = StoreBudget(self.state.random.getrandbits(32))
+        store = None
+        if settings.platform:
+            store = BudgetedStore(
+                HttpStore(settings.platform),
+                self.store_budget,
+                self.clock,
+            )
+        self.store_worker = StoreWorker(store, self._deliver_answer)
         self.stack.callback(self.store_worker.close)
         self.network = PeerNetwork(
             settings.node,
--- a/src/jasmineramp/reducer.py
+++ b/src/jasmineramp/reducer.py
@@ -158,9 +158,10 @@
     )
     effects += propagation.adopt_table(state, now)
     effects += propagation.refresh_slot(state, now)
+    # Parked calls take what has come in before more is asked for.
+    effects += calls.resume_parked(state, now)
     effects += rates.tick(state.rates, now)
     effects += exchange.tick(state.exchange, now)
-    effects += calls.resume_parked(state, now)
     effects += idempotency.tick(state.claims, now)
     effects += hops.tick(state, now)
     for retry in retries.expire(state.retries, now):
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,5 +1,6 @@
 """Run every test, print known failures and close with one summary line."""
 
+import faulthandler
 import pathlib
 import sys
 import unittest
@@ -8,6 +9,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+# A run takes about three minutes; a hang ends with a traceback.
+DEADLINE_SECONDS = 900
 
 
 def load_known_red() -> set[str]:
@@ -24,6 +27,7 @@
 
 def main() -> int:
     """Run the tests; return 0 when only recorded ones fail."""
+    faulthandler.dump_traceback_later(DEADLINE_SECONDS, exit=True)
     settings.register_profile(
         'ci',
         derandomize=True,
