Treat a rate slot that lapsed as taken over

A node that got the same slot again after its lease had ended used the share at once, though another node may have lent it meanwhile; the new test failed before this change.

--- a/src/jasmineramp/rate_state.py
+++ b/src/jasmineramp/rate_state.py
@@ -116,7 +116,11 @@
     """
     if lease is None:
         state.base_from = NEVER
-    elif state.lease is None or state.lease.slot != lease.slot:
+    elif (
+        state.lease is None
+        or state.lease.slot != lease.slot
+        or state.lease.until <= now
+    ):
         wait = 0 if lease.fresh else TERM_MS * (1 + DRIFT)
         state.base_from = Millis(now + wait)
     state.lease = lease
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -735,6 +735,14 @@
         self.assertEqual(pair.surge(2999, LENDER), 50)
         self.assertEqual(pair.surge(4000, LENDER), 0)
 
+    def test_slot_that_lapsed_counts_as_taken_over(self):
+        """Guards against loans of a node that held the slot meanwhile."""
+        pair = Pair()
+        pair.start(LENDER, 0, 0, until=3000)
+        lease = rates.SlotLease(0, Millis(DAY_MS), fresh=False)
+        rates.set_slot(pair.states[LENDER], lease, Millis(4000))
+        self.assertEqual(pair.surge(8000, LENDER), 0)
+
     def test_loans_end_before_the_slot_does(self):
         pair = Pair()
         pair.start(LENDER, 0, 0, until=7000)
