Guard the stop against closing before a response is sent

Cause: the test for it passed without the wait for responses, since an in-process close leaves the connections open. It now records whether a response was unsent at the close and fails without the wait.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Test a node's HTTP server for callers over real sockets."""
 
+import contextlib
 import json
 import logging
 import socket
@@ -14,7 +15,7 @@
 from jasmineramp.authentication import digest_key
 from jasmineramp.call_messages import StopRequested, UpstreamAnnounced
 from jasmineramp.credentials import find_key, strip_headers, strip_query
-from jasmineramp.gateway import Gateway
+from jasmineramp.gateway import Gateway, is_busy
 from tests.fakes.sockets import (
     ScriptedUpstream,
     announce,
@@ -42,6 +43,7 @@
     def setUp(self) -> None:
         self.upstream = ScriptedUpstream(self, answer(b'whole'))
         self.node = start_node(self, TABLE, largest_body_bytes=10_000)
+        self.addCleanup(type(self.node).close, self.node)
         announce(self.node, self.upstream.port)
 
     def get(self, path='/', headers=AUTHORIZED, connection=None):
@@ -200,8 +202,15 @@
         connection.request('GET', '/', headers=AUTHORIZED)
         wait_until(lambda: self.upstream.requests)
         wait_until(lambda: not self.node.dispatcher.inspect(lambda s: s.calls))
+        unsent = []
+        self.node.close = lambda: unsent.append(
+            any(is_busy(server) for server in self.node.http_servers)
+        )
         stop = threading.Thread(target=self.node.stop)
         stop.start()
-        wait_until(lambda: self.node.state.stopping)
+        # A stop that does not wait closes before the caller reads.
+        with contextlib.suppress(TimeoutError):
+            wait_until(lambda: unsent, 3)
         self.assertEqual(len(connection.getresponse().read()), 20_000_000)
         stop.join()
+        self.assertEqual(unsent, [False])
