--- a/src/jasmineramp/call_attempts.py
+++ b/src/jasmineramp/call_attempts.py
@@ -61,6 +61,7 @@
     if attempt.kind is AttemptKind.answered:
         close(state, call)
         effects += finish_claim(state, call, attempt, now)
+        effects.append(_record_finish(call, attempt))
         return effects
     return effects + _plan_retry(state, call, attempt, now)
 
@@ -234,3 +235,18 @@
         ]
     refusal = attempt.refusal or _FAILURES[attempt.kind]
     return refuse(state, call, refusal, now)
+
+
+def _record_finish(call: EntryCall, attempt: Attempt) -> RecordEvent:
+    return RecordEvent(
+        EventKind.call_finished,
+        {
+            'request_id': call.header.request_id,
+            'workspace': call.header.workspace,
+            'upstream': call.header.service,
+            'hop': call.header.hop,
+            'instance': call.instance.node if call.instance else '',
+            'attempts': call.attempts,
+            'status': attempt.status,
+        },
+    )
--- a/src/jasmineramp/calls.py
+++ b/src/jasmineramp/calls.py
@@ -18,7 +18,7 @@
 )
 from jasmineramp.claim_messages import ClaimDecided, ClaimEnd, ClaimVerdict
 from jasmineramp.clock import Millis, later
-from jasmineramp.configuration_state import serves_workspace
+from jasmineramp.configuration_state import contact_age, serves_workspace
 from jasmineramp.effects import Effect, SendMessage
 from jasmineramp.ids import (
     CallId,
@@ -156,6 +156,7 @@
         RefusalCode.key_unknown,
         row=row.name,
         column='offline_grace_ms',
+        figure=contact_age(state.configuration, now),
         limit=row.offline_grace_ms,
     )
     return refuse(state, call, refusal, now)
--- a/src/jasmineramp/logs.py
+++ b/src/jasmineramp/logs.py
@@ -29,6 +29,7 @@
     logging.basicConfig(format='%(message)s', stream=sys.stderr, force=True)
     set_level(level)
     logging.getLogger('waitress').setLevel(logging.ERROR)
+    logging.getLogger('pykka').setLevel(logging.WARNING)
 
 
 def set_level(level: str) -> None:
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -24,7 +24,7 @@
 from jasmineramp.claim_settings import ClaimSettings
 from jasmineramp.clock import Clock, Millis, MonotonicClock
 from jasmineramp.configuration_state import ConfigurationState
-from jasmineramp.effects import CountRefusal, RecordEvent
+from jasmineramp.effects import CountRefusal, EventKind, RecordEvent
 from jasmineramp.events import MessageReceived
 from jasmineramp.exceptions import (
     AddressInUseError,
@@ -55,6 +55,13 @@
 
 OPERATOR_THREADS = 2
 IDLE_POLL_SECONDS = 0.05
+CALL_EVENTS = frozenset(
+    (
+        EventKind.call_finished,
+        EventKind.call_refused,
+        EventKind.retry_decided,
+    )
+)
 MILLIS_PER_SECOND = 1000
 # A caller on a kept-alive connection learns of the stop with a response.
 LINGER_MS = 1000
@@ -134,6 +141,9 @@
         self.ticker.start()
         for server in self.servers:
             server.start()
+        settings = self.settings
+        fields = {'caller': settings.caller, 'peer': settings.peer}
+        self.record(RecordEvent(EventKind.node_started, fields))
 
     def load_table(self, revision: Revision, body: bytes) -> None:
         """Put a table from a file in force."""
@@ -172,7 +182,9 @@
     def record(self, event: RecordEvent) -> None:
         """Record an event on the time line."""
         self.records.record(event)
-        _log.info(event.kind.value, **event.fields)
+        # One line for each call would cost more than the call under overload.
+        level = 'debug' if event.kind in CALL_EVENTS else 'info'
+        getattr(_log, level)(event.kind.value, **event.fields)
 
     def count_refusal(self, effect: CountRefusal) -> None:
         """Count a refusal under its reason."""
--- a/src/jasmineramp/node_command.py
+++ b/src/jasmineramp/node_command.py
@@ -54,9 +54,7 @@
             node.load_table(_FILE_REVISION, body)
         node.on_drain = stop.set
         node.start()
-        log.info('node_started', caller=settings.caller, peer=settings.peer)
         stop.wait()
-        log.info('node_stopping')
         node.stop()
     log.info('node_stopped')
 
--- a/src/jasmineramp/rate_slots.py
+++ b/src/jasmineramp/rate_slots.py
@@ -177,6 +177,9 @@
         return _give_back(state, now) if beyond else []
     if state.phase in _SEARCHING or state.phase is SlotPhase.granting:
         return _give_back(state, now)
+    if state.phase is SlotPhase.idle:
+        # A node that found no slot would wait minutes before it looks again.
+        state.due = now
     return []
 
 
--- a/src/jasmineramp/refusal_advice.py
+++ b/src/jasmineramp/refusal_advice.py
@@ -6,7 +6,10 @@
 
 ADVICE: Mapping[RefusalCode, str] = {
     RefusalCode.key_missing: 'let the caller send its key',
-    RefusalCode.key_unknown: 'grant a key with jasmineramp-table grant',
+    RefusalCode.key_unknown: (
+        'grant a key with jasmineramp-table grant; for offline_grace_ms, '
+        'check why the failure domain has no contact with the platform'
+    ),
     RefusalCode.context_unknown: (
         'let the service pass on Jasmineramp-Context of the running call'
     ),
@@ -25,7 +28,9 @@
         'use a new Idempotency-Key for each different body'
     ),
     RefusalCode.rate_exceeded: (
-        'raise rate or burst in the named row, or let the caller slow down'
+        'raise rate or burst in the named row, or let the caller slow down; '
+        'the figure is the part of the rate that the node holds, and 0 means '
+        'that it holds no rate slot yet'
     ),
     RefusalCode.retries_exhausted: (
         'raise retries in the named row, or let the service retry less'
--- a/tests/test_rate_slots.py
+++ b/tests/test_rate_slots.py
@@ -234,6 +234,18 @@
         self.fleet.advance(HOUR_MS)
         self.assertEqual(self.fleet.all_held(), [0])
 
+    def test_more_slots_end_the_wait_of_a_node_without_one(self) -> None:
+        """A node that found no slot must not wait minutes for a new one."""
+        holder = self.fleet.start('10.0.0.3')
+        self.fleet.advance(MINUTE_MS, MINUTE_MS / 10)
+        self.assertIsNone(self.fleet.held('10.0.0.3'))
+        self.fleet.perform(
+            holder,
+            rate_slots.set_slots(holder.state, 3, self.fleet.now(holder)),
+        )
+        self.fleet.advance(5_000, 50)
+        self.assertIsNotNone(self.fleet.held('10.0.0.3'))
+
     def test_lost_write_does_not_hold_the_slot(self) -> None:
         fleet = SlotFleet(slots=1)
         fleet.lost_swaps = [Outcome.unknown]
