Give a new node its share while an edit is pending

Cause: a node that heard of the newest table before the accepted one put only the newest in force; accept_limits then found no table of the accepted revision, so the node had no base share until the next acceptance, which a cut-off failure domain can hold up for long. Change: when the accepted table comes late, all tables since it are put in force together. Both tests of tests/test_propagation.py fail without it (the share is 0.0 and not 20). Checks: make check clean; test_propagation, test_reducer and test_rates pass.

--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -16,7 +16,7 @@
 from jasmineramp.configuration_state import make_members
 from jasmineramp.effects import Effect, EventKind, RecordEvent
 from jasmineramp.exchange import RateMember
-from jasmineramp.ids import DomainId, NodeId
+from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.rate_buckets import NEVER
 from jasmineramp.rate_slots import RateSlotState, SlotSettings
 from jasmineramp.rates import SlotLease, rate_table
@@ -129,10 +129,24 @@
     accepted = state.configuration.accepted
     if accepted != state.accepted_revision:
         state.accepted_revision = accepted
-        rates.accept_limits(state.rates, accepted, now)
+        _accept_rates(state, accepted, now)
     return effects
 
 
+def _accept_rates(state: NodeState, accepted: Revision, now: Millis) -> None:
+    if any(table.revision == accepted for table in state.rates.tables):
+        rates.accept_limits(state.rates, accepted, now)
+        return
+    known = state.configuration.rate_tables
+    if accepted in known:
+        tables = [
+            rate_table(known[revision], revision)
+            for revision in sorted(known)
+            if revision >= accepted
+        ]
+        rates.restore_limits(state.rates, tables, now)
+
+
 def refresh_slot(state: NodeState, now: Millis) -> list[Effect]:
     """Search or renew the rate slot and tell who uses it.
 
--- a/src/jasmineramp/rate_state.py
+++ b/src/jasmineramp/rate_state.py
@@ -1,6 +1,7 @@
 """Hold the buckets of one node, its rate slot and its open requests."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 
 import msgspec
 
@@ -95,6 +96,20 @@
         _rebase(state, now)
 
 
+def restore_limits(
+    state: RateState,
+    tables: Iterable[RateTable],
+    now: Millis,
+) -> None:
+    """Put all tables since the accepted one in force, in order.
+
+    A node may hear of the newest table first and of the accepted one last.
+    """
+    state.tables = tuple(tables)
+    state.accepted = True
+    _rebase(state, now)
+
+
 def accept_limits(state: RateState, revision: Revision, now: Millis) -> None:
     """Drop the tables before a revision that every node has in force.
 
