Find the row of a call through an index

Cause: every call compared its path with each call row; with 160 services the table has hundreds of rows. singledispatchmethod also built a wrapper for each decision and effect. Change: an index by path prefix is walked up; decisions and effects use plain singledispatch functions. Checks: make check clean; test_calls, test_reducer, test_hops, test_peers, test_gateway, test_table, test_upstreams and test_promises pass.

--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any, Protocol, TypeVar
 
 import msgspec
@@ -109,36 +109,9 @@
         with self.lock:
             return function(self.state)
 
-    @singledispatchmethod
     def perform(self, effect: Effect) -> None:
         """Perform one effect."""
-        raise NotImplementedError(type(effect))
-
-    @perform.register
-    def _(self, effect: Decide) -> None:
-        waiter = self.waiters.pop(effect.call_id, None)
-        if waiter is not None:
-            waiter(effect.decision)
-
-    @perform.register
-    def _(self, effect: SendMessage) -> None:
-        self.performer.send(effect.node, effect.message)
-
-    @perform.register
-    def _(self, effect: StoreRequest) -> None:
-        self.performer.run_store(effect)
-
-    @perform.register
-    def _(self, effect: RecordEvent) -> None:
-        self.performer.record(effect)
-
-    @perform.register
-    def _(self, effect: CountRefusal) -> None:
-        self.performer.count_refusal(effect)
-
-    @perform.register
-    def _(self, effect: CancelRun) -> None:
-        self.performer.cancel_run(effect.call_id)
+        _perform(effect, self)
 
 
 class NodeActor(pykka.ThreadingActor):
@@ -202,3 +175,40 @@
                 dispatcher.wake.clear()
             else:
                 dispatcher.apply(tick)
+
+
+@singledispatch
+def _perform(effect: Effect, dispatcher: Dispatcher) -> None:
+    raise NotImplementedError(type(effect))
+
+
+@_perform.register
+def _(effect: Decide, dispatcher: Dispatcher) -> None:
+    waiter = dispatcher.waiters.pop(effect.call_id, None)
+    if waiter is not None:
+        waiter(effect.decision)
+
+
+@_perform.register
+def _(effect: SendMessage, dispatcher: Dispatcher) -> None:
+    dispatcher.performer.send(effect.node, effect.message)
+
+
+@_perform.register
+def _(effect: StoreRequest, dispatcher: Dispatcher) -> None:
+    dispatcher.performer.run_store(effect)
+
+
+@_perform.register
+def _(effect: RecordEvent, dispatcher: Dispatcher) -> None:
+    dispatcher.performer.record(effect)
+
+
+@_perform.register
+def _(effect: CountRefusal, dispatcher: Dispatcher) -> None:
+    dispatcher.performer.count_refusal(effect)
+
+
+@_perform.register
+def _(effect: CancelRun, dispatcher: Dispatcher) -> None:
+    dispatcher.performer.cancel_run(effect.call_id)
--- a/src/jasmineramp/call_runner.py
+++ b/src/jasmineramp/call_runner.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from concurrent.futures import Executor
-from functools import singledispatchmethod
+from functools import singledispatch
 
 import msgspec
 
@@ -106,9 +106,9 @@
             arrived.idempotency_key is not None,
         )
         started = self.clock.now()
-        step: CallDecision | CallResult = self._ask(progress, arrived)
+        step: CallDecision | CallResult = self.ask(progress, arrived)
         while isinstance(step, CallDecision):
-            step = self._follow(step, progress)
+            step = _follow(step, self, progress)
         if arrived.context is None:
             self.metrics.record(step, started)
         return step
@@ -159,11 +159,12 @@
         for hop in hops:
             hop.answers.put(UpstreamResult(Attempt(AttemptKind.lost)))
 
-    def _ask(
+    def ask(
         self,
         progress: _Progress,
         event: Event,
     ) -> CallDecision | CallResult:
+        """Apply an event and wait for the decision on the call."""
         decisions: queue.SimpleQueue[CallDecision] = queue.SimpleQueue()
         delivery = Delivery(event, progress.call_id, decisions.put)
         self.dispatcher.apply(delivery)
@@ -172,97 +173,26 @@
                 return decisions.get(timeout=POLL_SECONDS)
             except queue.Empty:
                 if progress.caller_left():
-                    refusal = self._leave(progress)
+                    refusal = self.leave(progress)
                     _end_unused(self.dispatcher, decisions)
                     return refusal
 
-    def _leave(self, progress: _Progress) -> Refusal:
+    def leave(self, progress: _Progress) -> Refusal:
+        """Give up a call whose caller has gone."""
         self.dispatcher.apply(Delivery(CallerLeft(progress.call_id)))
         return Refusal(RefusalCode.cancelled, RunState.unknown)
 
-    @singledispatchmethod
-    def _follow(
-        self,
-        decision: CallDecision,
-        progress: _Progress,
-    ) -> CallDecision | CallResult:
-        raise NotImplementedError(type(decision))
-
-    @_follow.register
-    def _(self, decision: Refused, progress: _Progress) -> CallResult:
-        return decision.refusal
-
-    @_follow.register
-    def _(self, decision: Replayed, progress: _Progress) -> CallResult:
-        return _response_decoder.decode(decision.response)
-
-    @_follow.register
-    def _(self, decision: Deliver, progress: _Progress) -> CallResult:
-        return progress.response or Refusal(
-            RefusalCode.upstream_lost,
-            RunState.unknown,
-        )
-
-    @_follow.register
-    def _(
-        self,
-        decision: RetryLater,
-        progress: _Progress,
-    ) -> CallDecision | CallResult:
-        time.sleep(decision.delay / _MILLIS_PER_SECOND)
-        return self._ask(progress, BackoffEnded(progress.call_id))
-
-    @_follow.register
-    def _(
-        self,
-        decision: HopRefused,
-        progress: _Progress,
-    ) -> CallDecision | CallResult:
-        attempt = Attempt(
-            AttemptKind.refused,
-            refusal=decision.refusal,
-            load=decision.load,
-        )
-        return self._ask(progress, AttemptEnded(progress.call_id, attempt))
-
-    @_follow.register
-    def _(
-        self,
-        decision: RunHere,
-        progress: _Progress,
-    ) -> CallDecision | CallResult:
-        result = self.upstream.run(
-            decision,
-            progress.request,
-            progress.caller_left,
-        )
-        if result.attempt.kind is AttemptKind.cancelled:
-            event = HopEnded(decision.header.call_id, result.attempt)
-            self.dispatcher.apply(Delivery(event))
-            return self._leave(progress)
-        return self._end_attempt(progress, result)
-
-    @_follow.register
-    def _(
-        self,
-        decision: Forward,
-        progress: _Progress,
-    ) -> CallDecision | CallResult:
-        result = self._forward(decision, progress)
-        if result is None:
-            return self._leave(progress)
-        return self._end_attempt(progress, result)
-
-    def _end_attempt(
+    def end_attempt(
         self,
         progress: _Progress,
         result: UpstreamResult,
     ) -> CallDecision | CallResult:
+        """Report the end of an attempt and return what follows."""
         attempt = result.attempt
         response = result.response
         progress.response = response
         if attempt.kind is not AttemptKind.answered or response is None:
-            return self._ask(progress, AttemptEnded(progress.call_id, attempt))
+            return self.ask(progress, AttemptEnded(progress.call_id, attempt))
         if (
             progress.keeps_response
             and len(response.body) <= KEPT_RESPONSE_BYTES
@@ -273,11 +203,12 @@
         self.dispatcher.apply(Delivery(event))
         return response
 
-    def _forward(
+    def forward(
         self,
         decision: Forward,
         progress: _Progress,
     ) -> UpstreamResult | None:
+        """Run an attempt at another node; None if the caller left."""
         call_id = decision.header.call_id
         hop = _PendingHop(decision.address, queue.SimpleQueue())
         with self.lock:
@@ -355,3 +286,96 @@
             unused = Attempt(AttemptKind.cancelled)
             event = HopEnded(decision.header.call_id, unused)
             dispatcher.apply(Delivery(event))
+
+
+@singledispatch
+def _follow(
+    decision: CallDecision,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallDecision | CallResult:
+    raise NotImplementedError(type(decision))
+
+
+@_follow.register
+def _(
+    decision: Refused,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallResult:
+    return decision.refusal
+
+
+@_follow.register
+def _(
+    decision: Replayed,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallResult:
+    return _response_decoder.decode(decision.response)
+
+
+@_follow.register
+def _(
+    decision: Deliver,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallResult:
+    return progress.response or Refusal(
+        RefusalCode.upstream_lost,
+        RunState.unknown,
+    )
+
+
+@_follow.register
+def _(
+    decision: RetryLater,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallDecision | CallResult:
+    time.sleep(decision.delay / _MILLIS_PER_SECOND)
+    return runner.ask(progress, BackoffEnded(progress.call_id))
+
+
+@_follow.register
+def _(
+    decision: HopRefused,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallDecision | CallResult:
+    attempt = Attempt(
+        AttemptKind.refused,
+        refusal=decision.refusal,
+        load=decision.load,
+    )
+    return runner.ask(progress, AttemptEnded(progress.call_id, attempt))
+
+
+@_follow.register
+def _(
+    decision: RunHere,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallDecision | CallResult:
+    result = runner.upstream.run(
+        decision,
+        progress.request,
+        progress.caller_left,
+    )
+    if result.attempt.kind is AttemptKind.cancelled:
+        event = HopEnded(decision.header.call_id, result.attempt)
+        runner.dispatcher.apply(Delivery(event))
+        return runner.leave(progress)
+    return runner.end_attempt(progress, result)
+
+
+@_follow.register
+def _(
+    decision: Forward,
+    runner: CallRunner,
+    progress: _Progress,
+) -> CallDecision | CallResult:
+    result = runner.forward(decision, progress)
+    if result is None:
+        return runner.leave(progress)
+    return runner.end_attempt(progress, result)
--- a/src/jasmineramp/calls.py
+++ b/src/jasmineramp/calls.py
@@ -33,7 +33,7 @@
 from jasmineramp.refusals import Refusal, RefusalCode
 from jasmineramp.retries import Retry
 from jasmineramp.state import EntryCall, NodeState
-from jasmineramp.table import CallRow, call_bucket, find_call, workspace_bucket
+from jasmineramp.table import CallRow, call_bucket, workspace_bucket
 
 _NO_WORKSPACE = WorkspaceId('')
 _NO_KEY = KeyDigest('')
@@ -45,7 +45,7 @@
     table = state.configuration.table
     if table is None:
         return refuse_early(state, event, RefusalCode.configuration_missing)
-    row = find_call(table, event.method, event.path)
+    row = state.call_index.find(event.method, event.path)
     if row is None:
         return refuse_early(state, event, RefusalCode.route_unknown)
     if event.context is not None:
--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -21,7 +21,7 @@
 from jasmineramp.rate_slots import RateSlotState, SlotSettings
 from jasmineramp.rates import SlotLease, rate_table
 from jasmineramp.state import NodeState
-from jasmineramp.table import Table
+from jasmineramp.table import CallIndex, Table
 
 REFRESH_MS = 200
 # Gossip of the stop reaches the nodes that send calls within this time.
@@ -112,7 +112,7 @@
         state.table_revision = revision
         before = state.keys
         state.keys = KeyRing(table)
-        state.call_rows = {row.name: row for row in table.calls}
+        state.call_index = CallIndex(table.calls)
         state.workspace_rows = {row.name: row for row in table.workspaces}
         limits = rate_table(table, revision)
         rates.set_limits(state.rates, limits, now)
--- a/src/jasmineramp/state.py
+++ b/src/jasmineramp/state.py
@@ -23,7 +23,6 @@
     ContextToken,
     DomainId,
     NodeId,
-    RowName,
     WorkspaceId,
 )
 from jasmineramp.membership_messages import Instance, Upstream
@@ -32,7 +31,7 @@
 from jasmineramp.rates import RateState
 from jasmineramp.retries import Retry, RetryState
 from jasmineramp.routing import RoutingState
-from jasmineramp.table import CallRow, WorkspaceRow
+from jasmineramp.table import CallIndex, CallRow, WorkspaceRow
 
 
 class EntryCall(msgspec.Struct):
@@ -107,7 +106,7 @@
         self.admission: AdmissionState | None = None
         self.upstream: Upstream | None = None
         self.keys = KeyRing()
-        self.call_rows: Mapping[RowName, CallRow] = {}
+        self.call_index = CallIndex()
         self.workspace_rows: Mapping[WorkspaceId, WorkspaceRow] = {}
         self.calls: dict[CallId, EntryCall] = {}
         self.parked: OrderedDict[CallId, None] = OrderedDict()
--- a/src/jasmineramp/table.py
+++ b/src/jasmineramp/table.py
@@ -18,6 +18,7 @@
 LEAST_IMPORTANCE = Importance(1)
 MOST_IMPORTANCE = Importance(5)
 MINIMUM_BURST = 1
+ANY_METHOD = '*'
 DIGEST_LENGTH = 64
 
 
@@ -27,7 +28,7 @@
     name: RowName
     service: ServiceName
     path: str
-    method: str = '*'
+    method: str = ANY_METHOD
     importance: int = 3
     weight: float = 1
     rate: float | None = None
@@ -88,16 +89,30 @@
     return BucketId(f'call:{row}')
 
 
-def find_call(table: Table, method: str, path: str) -> CallRow | None:
-    """Return the row with the longest matching path, exact methods first."""
-    matches = [
-        row
-        for row in table.calls
-        if row.method in {'*', method} and _matches_path(row.path, path)
-    ]
-    if not matches:
-        return None
-    return max(matches, key=lambda row: (len(row.path), row.method != '*'))
+class CallIndex:
+    """Find the row of a call by walking up its path, whatever their number."""
+
+    def __init__(self, rows: Iterable[CallRow] = ()) -> None:
+        self.rows: dict[str, dict[str, CallRow]] = {}
+        for row in rows:
+            prefix = row.path.rstrip('/')
+            self.rows.setdefault(prefix, {})[row.method] = row
+
+    def find(self, method: str, path: str) -> CallRow | None:
+        """Return the row with the longest matching path, exact methods first.
+
+        A prefix ends at a slash or at the end of the path.
+        """
+        prefix = path.rstrip('/')
+        while True:
+            by_method = self.rows.get(prefix)
+            if by_method is not None:
+                row = by_method.get(method) or by_method.get(ANY_METHOD)
+                if row is not None:
+                    return row
+            if not prefix:
+                return None
+            prefix = prefix.rpartition('/')[0]
 
 
 def check_table(table: Table) -> None:
@@ -134,12 +149,6 @@
     return f'<{len(digest)} characters, not a digest>'
 
 
-def _matches_path(prefix: str, path: str) -> bool:
-    if prefix in {path, '/'}:
-        return True
-    return path.startswith(f'{prefix.rstrip("/")}/')
-
-
 def _check_unique(
     section: str,
     names: Iterable[str],
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -22,7 +22,7 @@
 from jasmineramp.reducer import reduce
 from jasmineramp.refusals import Refusal, RefusalCode
 from jasmineramp.settings import Settings
-from jasmineramp.table import CallRow, KeyRow, Table, WorkspaceRow, find_call
+from jasmineramp.table import CallIndex, CallRow, KeyRow, Table, WorkspaceRow
 from jasmineramp.table_files import encode_table
 from tests.fakes.store import FakeStore
 
@@ -322,7 +322,8 @@
         """Record an overload refusal with the least importance queued."""
         if refusal.code is RefusalCode.overloaded:
             call = self.calls[call_id.partition('.')[0]]
-            row = find_call(self.table, 'POST', call.arrived.path)
+            index = CallIndex(self.table.calls)
+            row = index.find('POST', call.arrived.path)
             entries = process.state.admission.queue.entries.values()
             least = min((each.call.importance for each in entries), default=5)
             self.refused.append((row.importance, least))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -128,7 +128,7 @@
         progress = _Progress(call_id, GET, lambda: False, False)
         threading.Thread(
             target=lambda: results.put(
-                self.runner._forward(decision, progress)
+                self.runner.forward(decision, progress)
             ),
             daemon=True,
         ).start()
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -7,12 +7,12 @@
 from jasmineramp.exceptions import TableError
 from jasmineramp.ids import RowName, ServiceName, WorkspaceId
 from jasmineramp.table import (
+    CallIndex,
     CallRow,
     KeyRow,
     Table,
     WorkspaceRow,
     check_table,
-    find_call,
 )
 
 ORDER = CallRow(RowName('order'), ServiceName('orders'), '/orders')
@@ -60,11 +60,20 @@
         self.assert_cell(Table((), (STUDIO,), (key,)), 'workspace')
 
 
-class FindCallTest(unittest.TestCase):
+class CallIndexTest(unittest.TestCase):
     """Guard against a call that is judged by another row."""
 
     def test_longest_path_wins_and_a_prefix_ends_at_a_slash(self) -> None:
-        table = Table((ORDER, ARTWORK))
-        self.assertIs(find_call(table, 'PUT', '/orders/artwork/7'), ARTWORK)
-        self.assertIs(find_call(table, 'GET', '/orders/artwork/7'), ORDER)
-        self.assertIsNone(find_call(table, 'GET', '/ordersx'))
+        index = CallIndex((ORDER, ARTWORK))
+        self.assertIs(index.find('PUT', '/orders/artwork/7'), ARTWORK)
+        self.assertIs(index.find('GET', '/orders/artwork/7'), ORDER)
+        self.assertIs(index.find('GET', '/orders'), ORDER)
+        self.assertIsNone(index.find('GET', '/ordersx'))
+        self.assertIsNone(index.find('GET', '/'))
+
+    def test_the_root_path_takes_what_no_other_row_takes(self) -> None:
+        root = CallRow(RowName('root'), ServiceName('s'), '/')
+        index = CallIndex((root, ORDER))
+        self.assertIs(index.find('GET', '/other/x'), root)
+        self.assertIs(index.find('GET', '/'), root)
+        self.assertIs(index.find('GET', '/orders/7'), ORDER)
