--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -127,9 +127,7 @@
         )
         progress = _Progress(call_id, GET, lambda: False, False)
         threading.Thread(
-            target=lambda: results.put(
-                self.runner.forward(decision, progress)
-            ),
+            target=lambda: results.put(self.runner.forward(decision, progress)),
             daemon=True,
         ).start()
         return results
