--- a/src/jasmineramp/call_attempts.py
+++ b/src/jasmineramp/call_attempts.py
@@ -16,7 +16,7 @@
 from jasmineramp.claim_messages import ClaimEnd
 from jasmineramp.clock import Millis
 from jasmineramp.effects import Effect, EventKind, RecordEvent, SendMessage
-from jasmineramp.ids import CallId
+from jasmineramp.ids import CallId, NodeId
 from jasmineramp.refusals import Refusal, RefusalCode, RunState
 from jasmineramp.retries import FailedCall, Retry, RetryAfter
 from jasmineramp.state import EntryCall, NodeState
@@ -54,14 +54,15 @@
     if call.instance is None:
         return []
     attempt = event.attempt
+    node = call.instance.node
     effects: list[Effect] = []
-    if call.instance.node == state.node:
+    if node == state.node:
         effects += end_run(state, call.attempt_id, attempt, now)
     _observe(state, call, attempt, now)
     if attempt.kind is AttemptKind.answered:
         close(state, call)
         effects += finish_claim(state, call, attempt, now)
-        effects.append(_record_finish(call, attempt))
+        effects.append(_record_finish(call, attempt, node))
         return effects
     return effects + _plan_retry(state, call, attempt, now)
 
@@ -237,7 +238,11 @@
     return refuse(state, call, refusal, now)
 
 
-def _record_finish(call: EntryCall, attempt: Attempt) -> RecordEvent:
+def _record_finish(
+    call: EntryCall,
+    attempt: Attempt,
+    node: NodeId,
+) -> RecordEvent:
     return RecordEvent(
         EventKind.call_finished,
         {
@@ -245,7 +250,7 @@
             'workspace': call.header.workspace,
             'upstream': call.header.service,
             'hop': call.header.hop,
-            'instance': call.instance.node if call.instance else '',
+            'instance': node,
             'attempts': call.attempts,
             'status': attempt.status,
         },
--- a/src/jasmineramp/logs.py
+++ b/src/jasmineramp/logs.py
@@ -37,6 +37,11 @@
     logging.getLogger().setLevel(level.upper())
 
 
+def is_debug() -> bool:
+    """Tell whether events of single calls are written."""
+    return logging.getLogger().isEnabledFor(logging.DEBUG)
+
+
 def get_logger(name: str) -> structlog.stdlib.BoundLogger:
     """Return the logger of a module."""
     logger: structlog.stdlib.BoundLogger = structlog.get_logger(name)
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -35,7 +35,7 @@
 from jasmineramp.gateway import CallerChannel, Gateway, is_busy
 from jasmineramp.idempotency import ClaimState
 from jasmineramp.ids import CallId, NodeId, Revision
-from jasmineramp.logs import get_logger
+from jasmineramp.logs import get_logger, is_debug
 from jasmineramp.membership_messages import NodeEntry, Upstream
 from jasmineramp.membership_state import MembershipState
 from jasmineramp.messages import Message
@@ -183,8 +183,10 @@
         """Record an event on the time line."""
         self.records.record(event)
         # One line for each call would cost more than the call under overload.
-        level = 'debug' if event.kind in CALL_EVENTS else 'info'
-        getattr(_log, level)(event.kind.value, **event.fields)
+        if event.kind not in CALL_EVENTS:
+            _log.info(event.kind.value, **event.fields)
+        elif is_debug():
+            _log.debug(event.kind.value, **event.fields)
 
     def count_refusal(self, effect: CountRefusal) -> None:
         """Count a refusal under its reason."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from jasmineramp.call_messages import AttemptKind
+from jasmineramp.call_messages import (
+    Attempt,
+    AttemptEnded,
+    AttemptKind,
+    CallArrived,
+)
+from jasmineramp.effects import EventKind, RecordEvent
+from jasmineramp.reducer import reduce
 from jasmineramp.refusals import RunState
 from tests.fakes.network import KEY, Fleet, Plan, go_onward
 
@@ -97,3 +104,18 @@
         self.assertEqual(order.code, 'claims_unavailable')
         self.assertIs(order.answer.run, RunState.not_run)
         self.assertIs(read.answer.kind, AttemptKind.answered)
+
+    def test_finished_call_is_recorded_with_its_instance(self):
+        """The timeline of an answered request must not be empty."""
+        fleet = Fleet(('s0', 's1'))
+        state, now = fleet.processes['n0'].state, fleet.clock.now()
+        arrived = CallArrived('c1', 'POST', '/h0', 'nonce', KEY)
+        reduce(state, arrived, now)
+        ended = AttemptEnded('c1', Attempt(AttemptKind.answered, 200))
+        recorded = [
+            effect.fields['instance']
+            for effect in reduce(state, ended, now)
+            if isinstance(effect, RecordEvent)
+            and effect.kind is EventKind.call_finished
+        ]
+        self.assertEqual(recorded, ['n0'])
