Tick an idle node every 200 ms and never starve the tick

Cause: two things seen while reading the ticker. A node without waiting calls woke 20 times a second for nothing. And since wake_at can lie in the past, events that came faster than every 2 ms put the next tick off each time, so under load queued calls could not expire and loans could not be asked for. Change: the time of the next tick never moves to later; without parked or queued calls, open retry questions and claims the interval is 200 ms.

--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -8,6 +8,7 @@
 import msgspec
 import pykka
 
+from jasmineramp import propagation
 from jasmineramp.call_messages import (
     CallDecision,
     CallerLeft,
@@ -15,7 +16,7 @@
     Decide,
     TableLoaded,
 )
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import ORIGIN, Clock, Millis
 from jasmineramp.effects import (
     CountRefusal,
     Effect,
@@ -26,11 +27,14 @@
 from jasmineramp.ids import CallId, NodeId
 from jasmineramp.logs import get_logger
 from jasmineramp.messages import Message
+from jasmineramp.rate_buckets import NEVER
 from jasmineramp.reducer import reduce
 from jasmineramp.state import NodeState
 from jasmineramp.store_messages import StoreRequest
 
 TICK_MS = 50
+# Gossip, offers and loans need nothing more often.
+IDLE_TICK_MS = 200
 SHORTEST_TICK_MS = 2
 MILLIS_PER_SECOND = 1000
 
@@ -89,7 +93,7 @@
         self.lock = threading.Lock()
         self.waiters: dict[CallId, Waiter] = {}
         self.wake = threading.Event()
-        self.tick_at: float = 0
+        self.tick_at = ORIGIN
 
     def apply(self, delivery: Delivery) -> None:
         """Apply one event and perform its effects."""
@@ -101,9 +105,24 @@
             effects = reduce(self.state, delivery.event, self.clock.now())
             for effect in effects:
                 self.perform(effect)
-            if self.state.rates.wake_at < self.tick_at - SHORTEST_TICK_MS:
+            if self.next_tick() < self.tick_at - SHORTEST_TICK_MS:
                 self.wake.set()
 
+    def schedule(self, latest: Millis) -> Millis:
+        """Return when to tick next, at the latest at the given time."""
+        with self.lock:
+            self.tick_at = min(latest, self.next_tick())
+            return self.tick_at
+
+    def next_tick(self) -> Millis:
+        """Return when a tick is due from now on; the caller holds the lock."""
+        now = self.clock.now()
+        interval = IDLE_TICK_MS
+        if propagation.needs_ticks(self.state):
+            interval = TICK_MS
+        soonest = max(now + SHORTEST_TICK_MS, self.state.rates.wake_at)
+        return Millis(min(now + interval, soonest))
+
     def inspect(self, function: Callable[[NodeState], _ResultT]) -> _ResultT:
         """Evaluate a function of the state."""
         with self.lock:
@@ -142,7 +161,7 @@
 
 
 class Ticker:
-    """Apply a tick every 50 ms, or earlier when a parked call is due."""
+    """Apply a tick every 50 ms, earlier for parked calls, rarely when idle."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self.dispatcher = dispatcher
@@ -164,17 +183,21 @@
 
     def _run(self) -> None:
         tick = Delivery(Tick())
+        while not self.stopped.is_set():
+            self._wait()
+            self.dispatcher.apply(tick)
+
+    def _wait(self) -> None:
         dispatcher = self.dispatcher
+        due = dispatcher.schedule(NEVER)
         while not self.stopped.is_set():
-            now = dispatcher.clock.now()
-            due = dispatcher.inspect(lambda state: state.rates.wake_at)
-            soonest = max(now + SHORTEST_TICK_MS, due)
-            due = Millis(min(now + TICK_MS, soonest))
-            dispatcher.tick_at = due
-            if dispatcher.wake.wait((due - now) / MILLIS_PER_SECOND):
-                dispatcher.wake.clear()
-            else:
-                dispatcher.apply(tick)
+            delay = max(0, due - dispatcher.clock.now())
+            if not dispatcher.wake.wait(delay / MILLIS_PER_SECOND):
+                return
+            dispatcher.wake.clear()
+            # An earlier time may be due now, never a later one: events that
+            # come all the time must not put the tick off for good.
+            due = dispatcher.schedule(due)
 
 
 @singledispatch
--- a/src/jasmineramp/propagation.py
+++ b/src/jasmineramp/propagation.py
@@ -207,6 +207,21 @@
     return effects
 
 
+def needs_ticks(state: NodeState) -> bool:
+    """Tell whether something waits for the next tick.
+
+    Calls that run or that another node runs end by themselves.
+    """
+    claims = state.claims
+    return bool(
+        state.parked
+        or state.pending_hops
+        or state.charges
+        or claims.active
+        or claims.pending,
+    )
+
+
 def is_busy(state: NodeState, now: Millis) -> bool:
     """Tell whether a call is open on the node or may still be sent to it."""
     if state.refuse_hops_at is not None and now < state.refuse_hops_at:
