--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -17,7 +17,7 @@
 from bench.call_cost import make_table
 from bench.fleet import Fleet, Instance
 
-SETTLE_SECONDS = 12
+SETTLE_SECONDS = 25
 DOMAINS = 2
 
 
