Name the node in log lines of every thread

Cause: the node was bound to the context of the main thread, so lines written by the node's own threads lacked it (seen with examples/node.json5).

--- a/src/jasmineramp/events.py
+++ b/src/jasmineramp/events.py
@@ -11,7 +11,7 @@
 
 
 class Tick(Event, frozen=True):
-    """Let time pass; sent every 50 ms."""
+    """Let time pass; every 50 ms while something waits, else 200 ms."""
 
 
 class MessageReceived(Event, frozen=True):
--- a/src/jasmineramp/logs.py
+++ b/src/jasmineramp/logs.py
@@ -4,6 +4,7 @@
 import sys
 
 import structlog
+from structlog.typing import EventDict
 
 from jasmineramp.ids import NodeId
 
@@ -13,11 +14,16 @@
 def configure_logs(node: NodeId, level: str) -> None:
     """Send logs of the process to standard error as JSON lines."""
     set_level(level)
-    structlog.contextvars.bind_contextvars(node=node)
+
+    def add_node(_logger: object, _name: str, event: EventDict) -> EventDict:
+        # Context variables would be missing on the threads of the node.
+        event['node'] = node
+        return event
+
     structlog.configure(
         processors=[
             structlog.stdlib.filter_by_level,
-            structlog.contextvars.merge_contextvars,
+            add_node,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso'),
             structlog.processors.dict_tracebacks,
