--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -1,4 +1,4 @@
-"""Own the state of a node in one actor and perform its effects."""
+"""Own the state of a node, apply its events and perform its effects."""
 
 import threading
 from collections.abc import Callable
--- a/src/jasmineramp/state.py
+++ b/src/jasmineramp/state.py
@@ -1,4 +1,4 @@
-"""Hold the whole state of a node; the node actor owns it."""
+"""Hold the whole state of a node; its dispatcher owns it."""
 
 import random
 from collections import OrderedDict
