--- /dev/null
+++ b/src/jasmineramp/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Run the node beside an upstream on one event loop."""
--- /dev/null
+++ b/src/jasmineramp/mesh/entry.py
@@ -0,0 +1,471 @@
+"""Follow a call through its entry node, from the caller to an answer."""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from jasmineramp import routing
+from jasmineramp.clock import Clock, Millis, later
+from jasmineramp.ids import Importance, NodeId, ServiceName, WorkspaceId
+from jasmineramp.load_reports import LoadReport
+from jasmineramp.membership_messages import Instance
+from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.calls import (
+    Answer,
+    CallEnd,
+    CallerRequest,
+    CallHead,
+    CallKind,
+    Deadline,
+    Failure,
+    UpstreamCall,
+    not_run,
+    unknown,
+)
+from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.freshness import Freshness
+from jasmineramp.mesh.instance_gate import InstanceGate
+from jasmineramp.mesh.peer_links import (
+    LinkDownError,
+    LinkLostError,
+    PeerLink,
+)
+from jasmineramp.mesh.peer_messages import Ended, Run
+from jasmineramp.mesh.retry_budget import RetryBudget
+from jasmineramp.mesh.route_table import (
+    RankedWorkspace,
+    RouteRow,
+    RouteTable,
+    TargetSplit,
+    importance_of,
+)
+from jasmineramp.refusals import STATUS_BY_CODE, RefusalCode, RunState
+from jasmineramp.routing import CallOutcome, RoutingState
+from jasmineramp.table import MOST_IMPORTANCE
+
+# The patience of a caller that names none.
+USUAL_PATIENCE_MS = 30_000.0
+# Time for the answer that the upstream gives at its own deadline.
+ANSWER_MARGIN_MS = 80
+LEAST_SEND_MS = 8
+# Refusals by one instance after which the call is refused altogether.
+LARGEST_REDIRECTS = 2
+RETRY_AFTER_MS = 400.0
+SERVER_ERROR = 500
+MILLIS_PER_SECOND = 1000
+
+_encoder = msgspec.json.Encoder()
+
+
+class Dialect(Protocol):
+    """Translate between the wire and the product's types."""
+
+    def read_request(self, request: CallerRequest) -> CallHead:
+        """Return what the headers of a caller's request say."""
+
+    def write_answer(self, answer: Answer) -> CallerResponse:
+        """Return an upstream's answer as the response to the caller."""
+
+    def write_failure(
+        self, failure: Failure, status: int, body: bytes, request_id: str
+    ) -> CallerResponse:
+        """Return a failure as the response to the caller."""
+
+
+class QuotaTaker(Protocol):
+    """Take a token of a workspace's rate, wherever its bucket is."""
+
+    async def take(self, workspace: RankedWorkspace) -> float:
+        """Return 0, or the wait in ms when there is no token."""
+
+
+class AdmittedCall:
+    """Hold a call that has passed the table, and what became of it."""
+
+    __slots__ = (
+        'attempts',
+        'deadline',
+        'excluded',
+        'kept',
+        'redirects',
+        'route',
+        'service',
+        'upstream_call',
+    )
+
+    def __init__(
+        self,
+        route: RouteRow,
+        service: ServiceName,
+        deadline: Deadline,
+        upstream_call: UpstreamCall,
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.upstream_call = upstream_call
+        self.excluded: frozenset[NodeId] = frozenset()
+        # Sends that reached an upstream, and refusals by nodes beside one.
+        self.attempts = 0
+        self.redirects = 0
+        # What an upstream that may have run the call has said.
+        self.kept: CallEnd | None = None
+
+
+class _Observation:
+    """Tell routing how a call to an instance ended, also when cancelled."""
+
+    def __init__(
+        self, routes: RoutingState, instance: Instance, clock: Clock
+    ) -> None:
+        self.routes = routes
+        self.instance = instance
+        self.clock = clock
+        self.outcome = CallOutcome.cancelled
+        self.load: LoadReport | None = None
+
+    def __enter__(self) -> '_Observation':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        routing.observe(
+            self.routes,
+            self.instance.node,
+            self.outcome,
+            self.clock.now(),
+            load=self.load,
+            incarnation=self.instance.incarnation,
+        )
+
+
+class Entry:
+    """Take the calls of this VM's callers to an upstream."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        *,
+        dialect: Dialect,
+        gate: InstanceGate,
+        quotas: QuotaTaker,
+        routes: RoutingState,
+        budget: RetryBudget,
+        split: TargetSplit,
+        freshness: Freshness,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self.node = node
+        self.service = service
+        self.dialect = dialect
+        self.gate = gate
+        self.quotas = quotas
+        self.routes = routes
+        self.budget = budget
+        self.split = split
+        self.freshness = freshness
+        self.log = log
+        self.clock = clock
+        self.table: RouteTable | None = None
+        self.links: dict[NodeId, PeerLink] = {}
+        self.is_refusing = False
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Return the response to a caller's request."""
+        received = self.clock.now()
+        head = self.dialect.read_request(request)
+        admitted = await self._admit(request, head, received)
+        if isinstance(admitted, Failure):
+            return self._respond(head, None, admitted, received)
+        end = await self._run(admitted)
+        return self._respond(head, admitted, end, received)
+
+    async def _admit(
+        self, request: CallerRequest, head: CallHead, received: Millis
+    ) -> AdmittedCall | Failure:
+        table = self.table
+        if table is None:
+            return not_run(
+                RefusalCode.configuration_missing, 'no table yet', 500
+            )
+        if self.is_refusing:
+            return not_run(RefusalCode.draining, 'node stops', RETRY_AFTER_MS)
+        if not head.request_id:
+            return Failure(
+                RefusalCode.request_malformed, RunState.not_run, 'no id'
+            )
+        target = request.target.decode('latin-1')
+        route = table.find(head.host, target.partition('?')[0])
+        if route is None:
+            return self._deny(RefusalCode.route_unknown, received)
+        workspace: RankedWorkspace | None = None
+        if table.has_workspaces and not route.is_open:
+            found = await self._authenticate(table, head, received)
+            if isinstance(found, Failure):
+                return found
+            workspace = found
+        return self._plan(request, head, route, workspace, received)
+
+    async def _authenticate(
+        self, table: RouteTable, head: CallHead, now: Millis
+    ) -> RankedWorkspace | Failure:
+        """Return the workspace of the key, after its rate has been charged."""
+        if not self.freshness.may_admit_keys(now):
+            return not_run(
+                RefusalCode.configuration_missing,
+                f'table proved {self.freshness.age(now):.0f} ms ago',
+                RETRY_AFTER_MS,
+            )
+        workspace = table.find_workspace(head.key) if head.key else None
+        if workspace is None:
+            code = (
+                RefusalCode.key_unknown
+                if head.key
+                else (RefusalCode.key_missing)
+            )
+            return self._deny(code, now)
+        if not workspace.row.rate:
+            return workspace
+        wait_ms = await self.quotas.take(workspace)
+        if wait_ms:
+            return Failure(
+                RefusalCode.rate_exceeded,
+                RunState.not_run,
+                row=workspace.row.name,
+                column='rate',
+                limit=workspace.row.rate,
+                retry_after_ms=wait_ms,
+            )
+        return workspace
+
+    def _deny(self, code: RefusalCode, now: Millis) -> Failure:
+        if self.freshness.may_deny(now):
+            return Failure(code, RunState.not_run)
+        return not_run(
+            RefusalCode.configuration_missing,
+            f'{code.value}, but the table was proved '
+            f'{self.freshness.age(now):.0f} ms ago',
+            RETRY_AFTER_MS,
+        )
+
+    def _plan(
+        self,
+        request: CallerRequest,
+        head: CallHead,
+        route: RouteRow,
+        workspace: RankedWorkspace | None,
+        received: Millis,
+    ) -> AdmittedCall:
+        patience = head.deadline_ms
+        if patience is None:
+            patience = USUAL_PATIENCE_MS
+        deadline = Deadline(
+            later(received, patience), later(received, route.timeout_ms)
+        )
+        is_inner = workspace is None
+        service = self.split.choose(route)
+        call = UpstreamCall(
+            head.request_id,
+            request.method,
+            request.target,
+            head.headers,
+            request.body,
+            0,
+            route.name,
+            WorkspaceId('') if workspace is None else workspace.row.name,
+            self.service,
+            service,
+            '',
+            MOST_IMPORTANCE if is_inner else importance_of(route, workspace),
+            int(is_inner),
+            route.kind is CallKind.idempotent,
+        )
+        return AdmittedCall(route, service, deadline, call)
+
+    async def _run(self, admitted: AdmittedCall) -> CallEnd:
+        """Send the call until it has an answer or may not be repeated."""
+        while True:
+            now = self.clock.now()
+            left_ms = admitted.deadline.end() - now
+            if left_ms < LEAST_SEND_MS:
+                return admitted.kept or not_run(
+                    RefusalCode.deadline_exceeded, 'no time left'
+                )
+            importance = Importance(admitted.upstream_call.importance)
+            if not routing.admits(
+                self.routes, admitted.service, importance, now
+            ):
+                return admitted.kept or self._overloaded(admitted)
+            instance = routing.choose(
+                self.routes, admitted.service, admitted.excluded, now
+            )
+            if instance is None:
+                return admitted.kept or not_run(
+                    RefusalCode.no_upstream,
+                    f'no instance of {admitted.service}',
+                    RETRY_AFTER_MS,
+                )
+            end = await self._send(admitted, instance, left_ms)
+            final = self._judge(admitted, instance.node, end)
+            if final is not None:
+                return final
+
+    def _judge(
+        self, admitted: AdmittedCall, node: NodeId, end: CallEnd
+    ) -> CallEnd | None:
+        """Return the end of the call, None when it is to be sent again."""
+        admitted.excluded |= {node}
+        if isinstance(end, Failure) and end.run is RunState.not_run:
+            admitted.redirects += 1
+            has_other = routing.has_other(
+                self.routes, admitted.service, admitted.excluded
+            )
+            if (
+                has_other
+                and admitted.redirects <= LARGEST_REDIRECTS
+                and (not end.arrived or self.budget.take(admitted.service))
+            ):
+                return None
+            return admitted.kept or end
+        if isinstance(end, Answer) and end.status < SERVER_ERROR:
+            return end
+        admitted.attempts += 1
+        admitted.kept = admitted.kept or end
+        if not self._may_repeat(admitted):
+            return admitted.kept
+        return None
+
+    def _may_repeat(self, admitted: AdmittedCall) -> bool:
+        return (
+            admitted.upstream_call.repeatable
+            and admitted.attempts < admitted.route.attempts
+            and admitted.deadline.end() - self.clock.now() > LEAST_SEND_MS
+            and routing.has_other(
+                self.routes, admitted.service, admitted.excluded
+            )
+            and self.budget.take(admitted.service)
+        )
+
+    async def _send(
+        self, admitted: AdmittedCall, instance: Instance, left_ms: float
+    ) -> CallEnd:
+        """Send the call to the node beside an instance."""
+        if not admitted.attempts:
+            self.budget.count_send(admitted.service)
+        call = admitted.upstream_call
+        call.left_ms = left_ms
+        call.instance = ''
+        with _Observation(self.routes, instance, self.clock) as observation:
+            if instance.node == self.node:
+                end = await self.gate.run(call)
+                observation.load = self.gate.load()
+            else:
+                end, load = await self._send_to_peer(
+                    instance.node, call, left_ms
+                )
+                observation.load = load
+            observation.outcome = _outcome_of(end)
+        return end
+
+    async def _send_to_peer(
+        self, node: NodeId, call: UpstreamCall, left_ms: float
+    ) -> tuple[CallEnd, LoadReport | None]:
+        link = self.links.get(node)
+        if link is None or not await link.ready():
+            return not_run(RefusalCode.upstream_lost, 'node unreachable'), None
+        try:
+            stream, future = link.ask(lambda number: Run(number, call))
+        except LinkDownError:
+            return not_run(RefusalCode.upstream_lost, 'node unreachable'), None
+        wait_s = (left_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
+        try:
+            async with asyncio.timeout(wait_s):
+                frame = await future
+        except TimeoutError:
+            link.cancel(stream)
+            return unknown(RefusalCode.deadline_exceeded, 'no answer'), None
+        except LinkLostError:
+            return unknown(RefusalCode.upstream_lost, 'node lost'), None
+        except asyncio.CancelledError:
+            link.cancel(stream)
+            raise
+        if not isinstance(frame, Ended):
+            return unknown(RefusalCode.internal_error, 'wrong frame'), None
+        return frame.end, frame.load
+
+    def _overloaded(self, admitted: AdmittedCall) -> Failure:
+        return Failure(
+            RefusalCode.overloaded,
+            RunState.not_run,
+            row=admitted.route.name,
+            column='importance',
+            figure=admitted.upstream_call.importance,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def _respond(
+        self,
+        head: CallHead,
+        admitted: AdmittedCall | None,
+        end: CallEnd,
+        received: Millis,
+    ) -> CallerResponse:
+        took_ms = self.clock.now() - received
+        if isinstance(end, Answer):
+            self.log.write(
+                'answered',
+                request=head.request_id,
+                status=end.status,
+                took_ms=round(took_ms, 1),
+            )
+            return self.dialect.write_answer(end)
+        status = _status_of(end)
+        report = {
+            'code': end.code.value,
+            'run': end.run.value,
+            'detail': end.detail,
+            'row': end.row,
+            'column': end.column,
+            'figure': end.figure,
+            'limit': end.limit,
+            'retry_after_ms': end.retry_after_ms,
+            'node': self.node,
+            'version': '' if self.table is None else self.table.version,
+        }
+        self.log.write(
+            'refused' if end.run is RunState.not_run else 'failed',
+            request=head.request_id,
+            route='' if admitted is None else admitted.route.name,
+            sends=0 if admitted is None else admitted.attempts,
+            tried=[] if admitted is None else sorted(admitted.excluded),
+            status=status,
+            took_ms=round(took_ms, 1),
+            **report,
+        )
+        return self.dialect.write_failure(
+            end, status, _encoder.encode(report), head.request_id
+        )
+
+
+def _outcome_of(end: CallEnd) -> CallOutcome:
+    if isinstance(end, Answer):
+        failed = end.status >= SERVER_ERROR
+        return CallOutcome.failed if failed else CallOutcome.succeeded
+    if end.run is RunState.not_run and end.code is not (
+        RefusalCode.upstream_lost
+    ):
+        return CallOutcome.shed
+    return CallOutcome.failed
+
+
+def _status_of(failure: Failure) -> int:
+    """Return the status; one that promises "not run" must be true."""
+    status = STATUS_BY_CODE[failure.code]
+    if failure.run is RunState.unknown:
+        is_late = failure.code is RefusalCode.deadline_exceeded
+        return status if is_late else STATUS_BY_CODE[RefusalCode.upstream_lost]
+    if status < SERVER_ERROR:
+        return status
+    return STATUS_BY_CODE[RefusalCode.overloaded]
--- /dev/null
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -0,0 +1,265 @@
+"""Admit the calls to the upstream of this VM and send them there."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable
+
+from jasmineramp import admission
+from jasmineramp.admission import AdmissionState, Decision, Refuse, Start, Wait
+from jasmineramp.clock import Clock, Millis, later
+from jasmineramp.fair_queue import QueuedCall
+from jasmineramp.ids import CallId, Importance
+from jasmineramp.limits import CallOutcome
+from jasmineramp.load_reports import LoadReport
+from jasmineramp.mesh.calls import (
+    Answer,
+    CallEnd,
+    Failure,
+    ResponseHead,
+    UpstreamCall,
+    not_run,
+    unknown,
+)
+from jasmineramp.mesh.slot_limit import SlotLimiter
+from jasmineramp.mesh.upstream_http import (
+    FRESH_MS,
+    IDLE_MS,
+    BrokenExchangeError,
+    ConnectError,
+    StaleConnectionError,
+    UpstreamConnection,
+    UpstreamPool,
+)
+from jasmineramp.mesh.upstream_state import UpstreamRecord
+from jasmineramp.refusals import RefusalCode, RunState
+
+# The upstream ends a call itself at the deadline that it was given.
+ANSWER_MARGIN_MS = 40
+LEAST_SEND_MS = 4
+MILLIS_PER_SECOND = 1000
+MISDIRECTED = 421
+
+CallWriter = Callable[[UpstreamCall, float], bytes]
+
+
+class InstanceGate:
+    """Hold the admission state and the connections of one upstream."""
+
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        pool: UpstreamPool,
+        write_call: CallWriter,
+        on_lost: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self.record = record
+        self.pool = pool
+        self.write_call = write_call
+        self.on_lost = on_lost
+        self.clock = clock
+        self.admission = AdmissionState(SlotLimiter(1))
+        self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
+        self.ids = itertools.count()
+        self.is_stopping = False
+
+    def resize(self, slots: int) -> None:
+        """Adopt the announced slots."""
+        self._apply(
+            admission.resize(self.admission, slots, None, self.clock.now())
+        )
+
+    def drain(self) -> None:
+        """Refuse queued and later calls; running ones finish."""
+        self._apply(admission.drain(self.admission))
+
+    def expire(self) -> None:
+        """Refuse queued calls that have no chance any more."""
+        if self.admission.queue.entries:
+            self._apply(admission.expire(self.admission, self.clock.now()))
+
+    def running(self) -> int:
+        """Return the number of calls at the upstream."""
+        return len(self.admission.running)
+
+    def load(self) -> LoadReport:
+        """Return the load that peers route by."""
+        state = self.admission
+        queued = len(state.queue.entries)
+        over = max(0, len(state.running) - int(state.limiter.limit) + 1)
+        return LoadReport(
+            queued + over,
+            admission.capacity(state),
+            admission.shed_level(state, self.clock.now()),
+            self.record.is_ready(),
+        )
+
+    async def run(self, call: UpstreamCall) -> CallEnd:
+        """Run a call at the upstream when its turn comes."""
+        refusal = self._refuse_early(call)
+        if refusal is not None:
+            return refusal
+        now = self.clock.now()
+        deadline = later(now, call.left_ms)
+        call_id = CallId(str(next(self.ids)))
+        queued = QueuedCall(
+            call_id,
+            call.workspace,
+            call.row,
+            Importance(call.importance),
+            call.hop,
+            deadline,
+        )
+        decisions = admission.offer(self.admission, queued, now)
+        refused = await self._wait_for_start(call_id, decisions)
+        if refused is not None:
+            return refused
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._finish, call_id, CallOutcome.cancelled)
+            end = await self._send(call, deadline)
+            stack.pop_all()
+        self._finish(call_id, _outcome_of(end))
+        return end
+
+    def _finish(self, call_id: CallId, outcome: CallOutcome) -> None:
+        self._apply(
+            admission.finish(self.admission, call_id, outcome, self.clock.now())
+        )
+
+    def _refuse_early(self, call: UpstreamCall) -> Failure | None:
+        current = self.record.current
+        if current is None or not self.record.is_ready() or self.is_stopping:
+            return not_run(RefusalCode.draining, 'upstream takes no calls')
+        if current.service != call.service:
+            return not_run(RefusalCode.no_upstream, 'another service is here')
+        if call.instance and call.instance != current.instance:
+            return not_run(RefusalCode.no_upstream, 'another instance is here')
+        call.instance = current.instance
+        return None
+
+    async def _wait_for_start(
+        self, call_id: CallId, decisions: list[Decision]
+    ) -> Failure | None:
+        own = decisions[0] if decisions else None
+        if isinstance(own, Start):
+            self._apply(decisions[1:])
+            return None
+        if isinstance(own, Refuse):
+            self._apply(decisions[1:])
+            return _failure_of(own)
+        future: asyncio.Future[Failure | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.waiting[call_id] = future
+        self._apply(decisions[1:])
+        try:
+            return await future
+        except asyncio.CancelledError:
+            admission.cancel(self.admission, call_id)
+            self.waiting.pop(call_id, None)
+            if call_id in self.admission.running:
+                self._finish(call_id, CallOutcome.cancelled)
+            raise
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, Wait):
+                continue
+            future = self.waiting.pop(decision.call.call_id, None)
+            if future is None or future.done():
+                continue
+            if isinstance(decision, Refuse):
+                future.set_result(_failure_of(decision))
+            else:
+                future.set_result(None)
+
+    async def _send(self, call: UpstreamCall, deadline: Millis) -> CallEnd:
+        try:
+            connection = await self._connection(call)
+        except ConnectError as error:
+            if self.record.lose():
+                self.on_lost()
+            return not_run(RefusalCode.upstream_lost, str(error))
+        try:
+            return await self._exchange(connection, call, deadline)
+        except StaleConnectionError as error:
+            if not call.repeatable:
+                return unknown(RefusalCode.upstream_lost, str(error))
+        except BrokenExchangeError as error:
+            return unknown(RefusalCode.upstream_lost, str(error))
+        try:
+            fresh = await self.pool.connect()
+            return await self._exchange(fresh, call, deadline)
+        except ConnectError as error:
+            return unknown(RefusalCode.upstream_lost, str(error))
+        except (StaleConnectionError, BrokenExchangeError) as error:
+            return unknown(RefusalCode.upstream_lost, str(error))
+
+    async def _connection(self, call: UpstreamCall) -> UpstreamConnection:
+        limit_ms = IDLE_MS if call.repeatable else FRESH_MS
+        connection = self.pool.take_idle(limit_ms)
+        return connection or await self.pool.connect()
+
+    async def _exchange(
+        self,
+        connection: UpstreamConnection,
+        call: UpstreamCall,
+        deadline: Millis,
+    ) -> CallEnd:
+        left_ms = deadline - self.clock.now()
+        if left_ms < LEAST_SEND_MS:
+            self.pool.give_back(connection)
+            return not_run(RefusalCode.deadline_exceeded, 'too late to send')
+        future = connection.send(
+            self.write_call(call, left_ms),
+            call.request_id,
+            head_only=call.method == b'HEAD',
+        )
+        wait_s = (left_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
+        try:
+            async with asyncio.timeout(wait_s):
+                answer, head = await future
+        except TimeoutError:
+            connection.close()
+            return unknown(RefusalCode.deadline_exceeded, 'no response')
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        return _judge(answer, head)
+
+
+def _judge(answer: Answer, head: ResponseHead) -> CallEnd:
+    if head.not_run or answer.status == MISDIRECTED:
+        return Failure(
+            RefusalCode.overloaded,
+            RunState.not_run,
+            f'upstream refused with status {answer.status}',
+            arrived=True,
+        )
+    if not head.is_signed or head.is_encoded:
+        return unknown(RefusalCode.upstream_lost, 'response is not genuine')
+    return answer
+
+
+def _outcome_of(end: CallEnd) -> CallOutcome:
+    if isinstance(end, Answer):
+        failed = end.status >= 500  # noqa: PLR2004
+        return CallOutcome.failed if failed else CallOutcome.succeeded
+    if end.code is RefusalCode.deadline_exceeded:
+        return CallOutcome.timed_out
+    if end.run is RunState.not_run:
+        return CallOutcome.shed
+    return CallOutcome.failed
+
+
+def _failure_of(refusal: Refuse) -> Failure:
+    return Failure(
+        refusal.code,
+        RunState.not_run,
+        row=refusal.row,
+        column=refusal.column,
+        figure=refusal.figure,
+        limit=refusal.limit,
+        retry_after_ms=refusal.retry_after,
+    )
--- /dev/null
+++ b/src/jasmineramp/mesh/node.py
@@ -0,0 +1,453 @@
+"""Compose the parts of a node and run them on one event loop."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from http import HTTPStatus
+from typing import Protocol
+
+import msgspec
+
+from jasmineramp import routing
+from jasmineramp.clock import Clock, Millis
+from jasmineramp.ids import NodeId, Revision
+from jasmineramp.membership_messages import UpstreamState
+from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
+from jasmineramp.mesh.calls import (
+    CallerRequest,
+    Headers,
+    ResponseHead,
+    UpstreamCall,
+)
+from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.directory import Directory, MemberEntry
+from jasmineramp.mesh.entry import Dialect, Entry
+from jasmineramp.mesh.freshness import Freshness
+from jasmineramp.mesh.instance_gate import InstanceGate
+from jasmineramp.mesh.node_settings import NodeSettings
+from jasmineramp.mesh.peer_links import PeerLink, PeerSession
+from jasmineramp.mesh.peer_messages import (
+    Ended,
+    Run,
+    StateChanged,
+    TakeQuota,
+)
+from jasmineramp.mesh.quota_taker import FleetQuotas
+from jasmineramp.mesh.registration import DirectoryWatch, Registration
+from jasmineramp.mesh.retry_budget import RetryBudget
+from jasmineramp.mesh.route_table import (
+    CallerLimits,
+    RouteTable,
+    TargetSplit,
+)
+from jasmineramp.mesh.store import Store
+from jasmineramp.mesh.table_watch import TableWatch
+from jasmineramp.mesh.upstream_http import UpstreamPool
+from jasmineramp.mesh.upstream_state import Announcement, UpstreamRecord
+
+TICK_S = 0.05
+SLOW_TICKS = 10
+STEP_S = 0.05
+# Callers notice within two failed readiness checks, one a second.
+CALLERS_LEAVE_MS = 2_400
+LAST_ADMISSION_MS = 3_200
+# The rest of the grace period is for the end of the process.
+USABLE_GRACE = 0.86
+MILLIS_PER_SECOND = 1000
+
+
+class Platform(Dialect, Protocol):
+    """Bind a node to the platform on which it runs."""
+
+    table_key: str
+
+    def decode_table(self, value: bytes, revision: Revision) -> RouteTable:
+        """Return the table; raise ValueError that names the place."""
+
+    def write_call(self, call: UpstreamCall, left_ms: float) -> bytes:
+        """Return the request that goes to the upstream."""
+
+    def read_response(self, headers: Headers) -> ResponseHead:
+        """Return what the headers of an upstream's response say."""
+
+    def is_readiness_check(self, request: CallerRequest) -> bool:
+        """Tell whether a request asks for the readiness of the node."""
+
+    def read_announcement(
+        self, request: CallerRequest
+    ) -> 'Announcement | Leaving | None':
+        """Return what an instance says of itself; raise ValueError."""
+
+    def write_acknowledgement(self) -> CallerResponse:
+        """Return the response to an announcement."""
+
+
+class Leaving:
+    """Hold that an instance leaves; born is None if it does not say."""
+
+    __slots__ = ('born', 'instance')
+
+    def __init__(self, instance: str, born: int | None) -> None:
+        self.instance = instance
+        self.born = born
+
+
+class Node:
+    """Own the servers, links and tasks of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: Store,
+        platform: Platform,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.platform = platform
+        self.log = log
+        self.clock = clock
+        bounds = settings.bounds
+        rng = random.Random(f'{settings.node}/{time.time_ns()}')
+        self.incarnation = time.time_ns() // 1_000_000
+        self.freshness = Freshness(bounds.apply_ms, bounds.revoke_ms)
+        self.directory = Directory()
+        self.routes = routing.RoutingState(settings.domain, rng, clock.now())
+        self.budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack)
+        self.record = UpstreamRecord()
+        self.gate = InstanceGate(
+            self.record,
+            UpstreamPool(*settings.upstream, platform.read_response),
+            platform.write_call,
+            self._on_upstream_lost,
+            clock,
+        )
+        self.registration = Registration(store, self._own_entry, log, clock)
+        self.quotas = FleetQuotas(
+            settings.node, self.registration.is_valid, clock
+        )
+        self.entry = Entry(
+            settings.node,
+            settings.service,
+            dialect=platform,
+            gate=self.gate,
+            quotas=self.quotas,
+            routes=self.routes,
+            budget=self.budget,
+            split=TargetSplit(rng),
+            freshness=self.freshness,
+            log=log,
+            clock=clock,
+        )
+        self.links = self.entry.links
+        self.quotas.links = self.links
+        self.sessions: set[PeerSession] = set()
+        self.watch = DirectoryWatch(
+            store, self.directory, self._on_members, log, clock
+        )
+        self.table_watch = TableWatch(
+            store,
+            platform.table_key,
+            platform.decode_table,
+            on_table=self._on_table,
+            freshness=self.freshness,
+            log=log,
+            clock=clock,
+        )
+        self.callers = CallerServer(self.entry.handle, self._limits)
+        self.announcements = CallerServer(self._take_announcement, self._limits)
+        self.checks = CallerServer(self._check_readiness, self._limits)
+        self.stopping_since: Millis | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ticks = 0
+
+    async def start(self) -> None:
+        """Listen at all addresses and start the background work."""
+        loop = asyncio.get_running_loop()
+        await self.checks.listen(*self.settings.ready)
+        await self.announcements.listen(*self.settings.control)
+        await self.callers.listen(*self.settings.outbound)
+        self.peers = await loop.create_server(
+            lambda: PeerSession(self, self.sessions),
+            *self.settings.inbound,
+            reuse_address=True,
+        )
+        for work in (
+            self.table_watch.run,
+            self.registration.run,
+            self.watch.run,
+            self._tick_forever,
+        ):
+            self.tasks.append(loop.create_task(self._guard(work)))
+        self.log.write(
+            'node_started',
+            service=self.settings.service,
+            domain=self.settings.domain,
+            incarnation=self.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Finish what has been started, then close everything."""
+        if self.stopping_since is not None:
+            return
+        self.stopping_since = self.clock.now()
+        self.log.write('node_stopping', open=self._open_calls())
+        self.gate.is_stopping = True
+        self._tell_peers(UpstreamState.draining)
+        self.callers.drain()
+        asyncio.get_running_loop().create_task(self.registration.end())
+        await self._wait_for_calls(self.stopping_since)
+        self.log.write('node_stopped', open=self._open_calls())
+        self.close()
+
+    def close(self) -> None:
+        """Close servers, links and tasks."""
+        for server in (self.callers, self.announcements, self.checks):
+            server.stop()
+        for task in self.tasks:
+            task.cancel()
+        for link in self.links.values():
+            link.close()
+        self.log.flush()
+
+    def run_for_peer(self, session: PeerSession, frame: Run) -> None:
+        """Run a call of a peer at the upstream of this VM."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._run_for_peer(session, frame))
+        session.streams[frame.stream] = task
+
+    def cancel_for_peer(self, session: PeerSession, stream: int) -> None:
+        """Give up a call of a peer."""
+        task = session.streams.pop(stream, None)
+        if isinstance(task, asyncio.Task):
+            task.cancel()
+
+    def take_for_peer(self, frame: TakeQuota) -> float | None:
+        """Return 0, a wait in ms, or None if this node is no owner."""
+        table = self.entry.table
+        workspace = table and table.workspaces.get(frame.workspace)
+        if not workspace:
+            return None
+        return self.quotas.take_as_owner(workspace.row)
+
+    async def _run_for_peer(self, session: PeerSession, frame: Run) -> None:
+        end = await self.gate.run(frame.call)
+        session.streams.pop(frame.stream, None)
+        session.write(Ended(frame.stream, end, self.gate.load()))
+
+    async def _wait_for_calls(self, since: Millis) -> None:
+        latest = self.settings.bounds.grace_ms * USABLE_GRACE
+        while True:
+            elapsed = self.clock.now() - since
+            if elapsed > LAST_ADMISSION_MS:
+                self.entry.is_refusing = True
+            if elapsed > CALLERS_LEAVE_MS:
+                self.callers.close_idle()
+            is_idle = not self._open_calls() and not self.callers.connections
+            if elapsed > latest or (is_idle and elapsed > CALLERS_LEAVE_MS):
+                return
+            await asyncio.sleep(STEP_S)
+
+    def _open_calls(self) -> int:
+        return self.callers.requests + self.gate.running()
+
+    def _limits(self) -> CallerLimits:
+        table = self.entry.table
+        return CallerLimits() if table is None else table.limits
+
+    def _own_entry(self, version: int) -> MemberEntry:
+        current = self.record.current
+        host, port = self.settings.inbound
+        entry = MemberEntry(
+            self.settings.node,
+            self.incarnation,
+            version,
+            self.settings.domain,
+            host,
+            port,
+        )
+        if current is None:
+            return entry
+        return MemberEntry(
+            entry.node,
+            entry.incarnation,
+            version,
+            entry.domain,
+            host,
+            port,
+            current.service,
+            current.instance,
+            current.born,
+            current.slots,
+            self.record.state,
+        )
+
+    def _on_table(self, table: RouteTable) -> None:
+        self.entry.table = table
+
+    def _on_members(self, changed: Iterable[MemberEntry]) -> None:
+        now = self.clock.now()
+        for member in changed:
+            self._put_member(member, now)
+        self._count_members()
+
+    def _put_member(self, member: MemberEntry, now: Millis) -> None:
+        node = member.node
+        if node != self.settings.node:
+            link = self.links.get(node)
+            if link is None or link.address != (member.host, member.port):
+                if link is not None:
+                    link.close()
+                self.links[node] = PeerLink(
+                    self.settings.node,
+                    node,
+                    (member.host, member.port),
+                    self._on_peer_state,
+                    self._on_peer_lost,
+                )
+        if member.instance:
+            routing.put_instance(self.routes, member.to_instance(), now)
+        else:
+            routing.remove_instance(self.routes, node)
+        self.log.write(
+            'member_changed',
+            member=node,
+            service=member.service,
+            instance=member.instance,
+            state=member.state.name,
+            version=member.version,
+        )
+
+    def _count_members(self) -> None:
+        self.quotas.set_nodes(self.directory.members)
+        self.budget.set_nodes(len(self.directory.members))
+
+    def _on_peer_state(self, frame: StateChanged) -> None:
+        member = self.directory.members.get(frame.node)
+        if member is None or member.instance != frame.instance:
+            return
+        changed = msgspec.structs.replace(member, state=frame.state)
+        routing.put_instance(
+            self.routes, changed.to_instance(), self.clock.now()
+        )
+
+    def _on_peer_lost(self, node: NodeId, reason: str) -> None:
+        self.log.write('peer_lost', peer=node, reason=reason)
+
+    def _on_upstream_lost(self) -> None:
+        self.log.write('upstream_lost', instance=self._instance_name())
+        self._publish_state()
+
+    def _instance_name(self) -> str:
+        current = self.record.current
+        return '' if current is None else current.instance
+
+    def _publish_state(self) -> None:
+        """Make a change of the upstream known to peers and store."""
+        current = self.record.current
+        if current is None:
+            return
+        if self.record.is_ready():
+            self.gate.resize(current.slots)
+        else:
+            self.gate.drain()
+        self._tell_peers(self.record.state)
+        routing.put_instance(
+            self.routes,
+            self._own_entry(0).to_instance(),
+            self.clock.now(),
+        )
+        self.registration.touch()
+
+    def _tell_peers(self, state: UpstreamState) -> None:
+        frame = StateChanged(self.settings.node, self._instance_name(), state)
+        for session in self.sessions:
+            session.write(frame)
+
+    async def _take_announcement(
+        self, request: CallerRequest
+    ) -> CallerResponse:
+        try:
+            said = self.platform.read_announcement(request)
+        except ValueError as error:
+            self.log.write('announcement_unreadable', error=str(error))
+            return CallerResponse(HTTPStatus.BAD_REQUEST, [])
+        now = self.clock.now()
+        if said is None:
+            return CallerResponse(HTTPStatus.NOT_FOUND, [])
+        if isinstance(said, Leaving):
+            changed = self.record.leave(said.instance, said.born, now)
+        else:
+            changed = self._announce(said, now)
+        if changed:
+            self.log.write(
+                'upstream_changed',
+                instance=self._instance_name(),
+                state=self.record.state.name,
+            )
+            self._publish_state()
+        return self.platform.write_acknowledgement()
+
+    def _announce(self, said: Announcement, now: Millis) -> bool:
+        host, port = self.settings.upstream
+        if said.address != f'{host}:{port}':
+            self.log.write(
+                'announcement_ignored',
+                instance=said.instance,
+                address=said.address,
+            )
+            return False
+        return self.record.announce(said, now)
+
+    async def _check_readiness(self, request: CallerRequest) -> CallerResponse:
+        if not self.platform.is_readiness_check(request):
+            return CallerResponse(HTTPStatus.NOT_FOUND, [])
+        is_ready = (
+            self.entry.table is not None
+            and self.watch.listed > float('-inf')
+            and self.stopping_since is None
+        )
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return CallerResponse(status, [])
+
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run background work again when a fault ends it."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                self.log.write('fault', work=str(work), error=repr(error))
+                await asyncio.sleep(1)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._tick()
+
+    def _tick(self) -> None:
+        self.gate.expire()
+        loop_time = asyncio.get_running_loop().time()
+        for link in self.links.values():
+            link.check(loop_time)
+        self.ticks += 1
+        self.log.flush()
+        if self.ticks % SLOW_TICKS:
+            return
+        now = self.clock.now()
+        self.gate.pool.expire()
+        for link in self.links.values():
+            if link.is_suspect():
+                link.ensure()
+        for server in (self.callers, self.announcements, self.checks):
+            server.expire(loop_time)
+        gone = self.directory.expire(now)
+        for member in gone:
+            routing.remove_instance(self.routes, member.node)
+            if member.node in self.links:
+                self.links.pop(member.node).close()
+            self.log.write('member_gone', member=member.node)
+        if gone:
+            self._count_members()
--- /dev/null
+++ b/src/jasmineramp/mesh/node_settings.py
@@ -0,0 +1,46 @@
+"""Define the settings of a node on the event loop."""
+
+import msgspec
+
+from jasmineramp.ids import DomainId, NodeId, ServiceName
+
+Address = tuple[str, int]
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Hold the bounds that the operators set; times are milliseconds.
+
+    Apply: a new table is in force. Revoke: a withdrawn key stops working.
+    Drain: a leaving upstream gets no new call. Grace: from SIGTERM to
+    SIGKILL. The retry ratio and slack bound the repeated sends to a service
+    over all nodes.
+    """
+
+    apply_ms: float = 2_000
+    revoke_ms: float = 5_000
+    drain_ms: float = 2_000
+    grace_ms: float = 6_000
+    retry_ratio: float = 0.2
+    retry_slack: float = 40
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Hold the settings of one node; addresses are host and port.
+
+    Callers and the upstream of this VM send calls to `outbound`, peers
+    connect to `inbound`, the upstream announces itself at `control`.
+    """
+
+    node: NodeId
+    domain: DomainId
+    service: ServiceName
+    outbound: Address
+    inbound: Address
+    ready: Address
+    control: Address
+    upstream: Address
+    store: Address
+    metrics: Address
+    heartbeat_ms: float
+    least_ttl_ms: float
+    bounds: Bounds
--- /dev/null
+++ b/src/jasmineramp/mesh/quota_taker.py
@@ -0,0 +1,92 @@
+"""Charge each request to the bucket of its workspace, wherever it is."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from jasmineramp.clock import Clock, Millis
+from jasmineramp.ids import NodeId
+from jasmineramp.mesh.peer_links import (
+    LinkDownError,
+    LinkLostError,
+    PeerLink,
+)
+from jasmineramp.mesh.peer_messages import QuotaTaken, TakeQuota
+from jasmineramp.mesh.quotas import LocalQuotas, OwnedQuotas, Owners
+from jasmineramp.mesh.route_table import RankedWorkspace
+from jasmineramp.table import WorkspaceRow
+
+# Many times the round trip between failure domains.
+REPLY_TIMEOUT_S = 0.15
+
+
+class FleetQuotas:
+    """Take tokens here, at the owner, or from this node's own part."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        is_registered: Callable[[Millis], bool],
+        clock: Clock,
+    ) -> None:
+        self.node = node
+        self.is_registered = is_registered
+        self.clock = clock
+        self.owners = Owners()
+        self.owned = OwnedQuotas()
+        self.local = LocalQuotas()
+        self.links: dict[NodeId, PeerLink] = {}
+
+    def set_nodes(self, nodes: Iterable[NodeId]) -> None:
+        """Adopt the registered nodes and forget buckets that moved away."""
+        self.owners.set_nodes(nodes)
+        self.owned.keep(
+            name
+            for name in list(self.owned.buckets)
+            if self.owners.find(name) == self.node
+        )
+
+    async def take(self, workspace: RankedWorkspace) -> float:
+        """Return 0, or the wait in ms when there is no token."""
+        row = workspace.row
+        owner = self.owners.find(row.name)
+        wait_ms: float | None = None
+        if owner == self.node:
+            wait_ms = self.take_as_owner(row)
+        elif owner is not None:
+            wait_ms = await self._ask(owner, row)
+        if wait_ms is None:
+            nodes = max(1, len(self.owners.nodes))
+            wait_ms = self.local.take(row, nodes, self.clock.now())
+        return wait_ms
+
+    def take_as_owner(self, row: WorkspaceRow) -> float | None:
+        """Return 0, the wait in ms, or None if this node is no owner."""
+        now = self.clock.now()
+        if self.owners.find(row.name) != self.node:
+            return None
+        if not self.is_registered(now):
+            return None
+        return self.owned.take(row, self._reachable(), now)
+
+    def _reachable(self) -> float:
+        nodes = max(1, len(self.owners.nodes))
+        suspects = sum(link.is_suspect() for link in self.links.values())
+        return max(1, nodes - suspects) / nodes
+
+    async def _ask(self, owner: NodeId, row: WorkspaceRow) -> float | None:
+        link = self.links.get(owner)
+        if link is None or not await link.ready():
+            return None
+        try:
+            stream, future = link.ask(
+                lambda number: TakeQuota(number, row.name)
+            )
+        except LinkDownError:
+            return None
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                frame = await future
+        except (TimeoutError, LinkLostError):
+            link.forget(stream)
+            return None
+        return frame.wait_ms if isinstance(frame, QuotaTaken) else None
--- /dev/null
+++ b/src/jasmineramp/mesh/registration.py
@@ -0,0 +1,195 @@
+"""Register this node at the store and follow the other nodes there."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import msgspec
+
+from jasmineramp.clock import Clock, Millis
+from jasmineramp.ids import Revision
+from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.directory import (
+    PREFIX,
+    Directory,
+    MemberEntry,
+    key_of,
+)
+from jasmineramp.mesh.store import Store, StoreOutcome, StoreReply
+
+TTL_MS = 8_000
+KEEP_EVERY_MS = 2_000
+RETRY_MS = 300
+WATCH_MS = 20_000
+# Changes that follow one another closely are read with one call.
+COALESCE_MS = 200
+# A watch may miss changes when the store loses its history.
+RELIST_MS = 10_000
+MILLIS_PER_SECOND = 1000
+
+_encoder = msgspec.json.Encoder()
+
+
+class Registration:
+    """Keep the entry of this node at the store under a lease."""
+
+    def __init__(
+        self,
+        store: Store,
+        entry_of: Callable[[int], MemberEntry],
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self.store = store
+        self.entry_of = entry_of
+        self.log = log
+        self.clock = clock
+        self.version = 0
+        self.written = -1
+        self.revision = Revision(0)
+        self.lease = 0
+        self.valid_until = Millis(float('-inf'))
+        self.changed = asyncio.Event()
+        self.is_closed = False
+
+    def touch(self) -> None:
+        """Note that the entry has changed."""
+        self.version += 1
+        self.changed.set()
+
+    def is_valid(self, now: Millis) -> bool:
+        """Tell whether the entry is certain to be at the store."""
+        return now < self.valid_until
+
+    async def run(self) -> None:
+        """Keep lease and entry until cancelled."""
+        while not self.is_closed:
+            wait_ms = await self._step()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_ms / MILLIS_PER_SECOND):
+                    await self.changed.wait()
+
+    async def end(self) -> None:
+        """Delete the entry, so that peers need not wait for its lapse."""
+        self.is_closed = True
+        if self.lease:
+            await self.store.end_lease(self.lease)
+
+    async def _step(self) -> float:
+        sent = self.clock.now()
+        self.changed.clear()
+        if not self.lease:
+            reply = await self.store.grant_lease(TTL_MS)
+            if reply.outcome is not StoreOutcome.done:
+                return RETRY_MS
+            self.lease = reply.lease
+            self.written = -1
+        elif self.written == self.version:
+            reply = await self.store.keep_lease(self.lease)
+            if reply.outcome is StoreOutcome.missing:
+                self._lose_lease('lease has ended')
+                return 0.001
+            if reply.outcome is not StoreOutcome.done:
+                return RETRY_MS
+        if self.written != self.version and not await self._write():
+            return RETRY_MS
+        self.valid_until = Millis(sent + TTL_MS)
+        return KEEP_EVERY_MS
+
+    async def _write(self) -> bool:
+        version = self.version
+        entry = self.entry_of(version)
+        key = key_of(entry.node)
+        reply = await self.store.put(
+            key, _encoder.encode(entry), self.revision, self.lease
+        )
+        if reply.outcome is StoreOutcome.done:
+            self.revision = reply.revision
+            self.written = version
+            self.log.write(
+                'registered', version=version, state=entry.state.name
+            )
+            return True
+        if reply.outcome is StoreOutcome.missing:
+            self._lose_lease('lease is unknown')
+        elif reply.outcome is not StoreOutcome.not_done:
+            await self._read_back(key, entry)
+        return False
+
+    async def _read_back(self, key: str, entry: MemberEntry) -> None:
+        """Learn what is at the store after a conflict or a lost answer."""
+        reply = await self.store.get(key)
+        if reply.outcome is StoreOutcome.missing:
+            self.revision = Revision(0)
+        elif reply.outcome is StoreOutcome.done:
+            item = reply.items[0]
+            self.revision = item.revision
+            if item.value == _encoder.encode(entry):
+                self.written = entry.version
+
+    def _lose_lease(self, reason: str) -> None:
+        self.lease = 0
+        self.written = -1
+        self.revision = Revision(0)
+        self.log.write('lease_lost', reason=reason)
+
+
+class DirectoryWatch:
+    """Follow the entries of all nodes at the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        directory: Directory,
+        on_change: Callable[[list[MemberEntry]], None],
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self.store = store
+        self.directory = directory
+        self.on_change = on_change
+        self.log = log
+        self.clock = clock
+        self.revision = Revision(0)
+        self.listed = Millis(float('-inf'))
+        self.is_listed = False
+
+    async def run(self) -> None:
+        """Follow the entries until cancelled."""
+        while True:
+            now = self.clock.now()
+            if not self.is_listed or now - self.listed > RELIST_MS:
+                await self._list(stale=self.is_listed)
+                continue
+            reply = await self.store.watch(PREFIX, self.revision, WATCH_MS / 2)
+            if reply.outcome is StoreOutcome.done:
+                self._take(reply)
+                pause_ms = COALESCE_MS if reply.items else 0
+            else:
+                # What the watch missed is read anew.
+                self.is_listed = False
+                self.log.write(
+                    'watch_ended',
+                    outcome=reply.outcome.value,
+                    detail=reply.detail,
+                )
+                pause_ms = RETRY_MS
+            await asyncio.sleep(pause_ms / MILLIS_PER_SECOND)
+
+    async def _list(self, *, stale: bool) -> None:
+        reply = await self.store.list_items(PREFIX, stale=stale)
+        if reply.outcome is not StoreOutcome.done:
+            await asyncio.sleep(RETRY_MS / MILLIS_PER_SECOND)
+            return
+        self.listed = self.clock.now()
+        if stale and reply.revision < self.revision:
+            # Older than what the watch has shown.
+            return
+        self.revision = max(self.revision, reply.revision)
+        self.is_listed = True
+        self.on_change(self.directory.replace_all(reply.items, self.listed))
+
+    def _take(self, reply: StoreReply) -> None:
+        self.revision = max(self.revision, reply.revision)
+        if reply.items:
+            self.on_change(self.directory.apply(reply.items, self.clock.now()))
--- /dev/null
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -0,0 +1,99 @@
+"""Follow the upstream of this VM by what it announces."""
+
+import msgspec
+
+from jasmineramp.clock import Millis
+from jasmineramp.ids import DomainId, ServiceName
+from jasmineramp.membership_messages import UpstreamState
+
+# An upstream that leaves serves for a while; later it can't come back late.
+LEFT_MEMORY_MS = 60_000
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """Hold what an instance says of itself.
+
+    Born is the Unix time of its start in ms, sequence grows with each
+    announcement, cold is how much longer it stays slow after its start.
+    """
+
+    instance: str
+    born: int
+    address: str
+    service: ServiceName
+    domain: DomainId
+    slots: int
+    state: UpstreamState
+    sequence: int
+    cold_ms: float
+
+
+class UpstreamRecord:
+    """Hold the present instance and those that have left."""
+
+    def __init__(self) -> None:
+        self.current: Announcement | None = None
+        self.state = UpstreamState.starting
+        self.heard = Millis(0)
+        self.left: dict[str, tuple[int, Millis]] = {}
+
+    def announce(self, announcement: Announcement, now: Millis) -> bool:
+        """Take an announcement; return whether state or instance changed.
+
+        Announcements may come late: of an instance that has left, of an
+        earlier incarnation, or out of order.
+        """
+        left = self.left.get(announcement.instance)
+        if left is not None and announcement.born <= left[0]:
+            return False
+        current = self.current
+        if current is not None and not _supersedes(announcement, current):
+            return False
+        is_same = current is not None and _is_same(announcement, current)
+        was_slots = current.slots if current is not None else 0
+        before = self.state
+        self.current = announcement
+        self.heard = now
+        if not (is_same and before is UpstreamState.draining):
+            self.state = announcement.state
+        return (
+            not is_same
+            or self.state is not before
+            or was_slots != announcement.slots
+        )
+
+    def leave(self, instance: str, born: int | None, now: Millis) -> bool:
+        """Take the leave of an instance; return whether it was in use."""
+        current = self.current
+        is_current = current is not None and current.instance == instance
+        if born is None:
+            born = current.born if is_current and current else 0
+        self.left[instance] = (born, now)
+        for name, (_, since) in list(self.left.items()):
+            if now - since > LEFT_MEMORY_MS:
+                del self.left[name]
+        if not is_current or (current is not None and born < current.born):
+            return False
+        self.state = UpstreamState.draining
+        return True
+
+    def lose(self) -> bool:
+        """Note that the instance refuses connections; it must announce anew."""
+        if self.state is not UpstreamState.ready:
+            return False
+        self.state = UpstreamState.starting
+        return True
+
+    def is_ready(self) -> bool:
+        """Tell whether the instance takes new calls."""
+        return self.state is UpstreamState.ready
+
+
+def _is_same(left: Announcement, right: Announcement) -> bool:
+    return left.instance == right.instance and left.born == right.born
+
+
+def _supersedes(new: Announcement, current: Announcement) -> bool:
+    if _is_same(new, current):
+        return new.sequence > current.sequence
+    return new.born >= current.born
--- /dev/null
+++ b/src/jasmineramp/platform/binding.py
@@ -0,0 +1,82 @@
+"""Bind the node to the platform: one object over the translations."""
+
+import msgspec
+
+from jasmineramp.ids import Revision
+from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.calls import (
+    Answer,
+    CallerRequest,
+    CallHead,
+    Failure,
+    Headers,
+    ResponseHead,
+    UpstreamCall,
+)
+from jasmineramp.mesh.node import Leaving
+from jasmineramp.mesh.route_table import RouteTable
+from jasmineramp.mesh.upstream_state import Announcement
+from jasmineramp.platform import announcements, configuration, headers
+
+_ACKNOWLEDGEMENT = b'{}'
+_JSON: Headers = [(b'Content-Type', b'application/json')]
+
+
+class PlatformBinding:
+    """Translate for a node; it decides nothing."""
+
+    table_key = configuration.CONFIGURATION_KEY
+
+    def decode_table(self, value: bytes, revision: Revision) -> RouteTable:
+        """Return the table; raise ValueError that names the place."""
+        try:
+            return configuration.decode_configuration(value, revision)
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from None
+
+    def read_request(self, request: CallerRequest) -> CallHead:
+        """Return what the headers of a caller's request say."""
+        return headers.read_request(request)
+
+    def write_call(self, call: UpstreamCall, left_ms: float) -> bytes:
+        """Return the request that goes to the upstream."""
+        return headers.write_call(call, left_ms)
+
+    def read_response(self, wire_headers: Headers) -> ResponseHead:
+        """Return what the headers of an upstream's response say."""
+        return headers.read_response(wire_headers)
+
+    def write_answer(self, answer: Answer) -> CallerResponse:
+        """Return an upstream's answer as the response to the caller."""
+        return headers.write_answer(answer)
+
+    def write_failure(
+        self, failure: Failure, status: int, body: bytes, request_id: str
+    ) -> CallerResponse:
+        """Return a failure as the response to the caller."""
+        return headers.write_failure(failure, status, body, request_id)
+
+    def is_readiness_check(self, request: CallerRequest) -> bool:
+        """Tell whether a request asks for the readiness of the node."""
+        return request.target == announcements.READY_PATH
+
+    def read_announcement(
+        self, request: CallerRequest
+    ) -> Announcement | Leaving | None:
+        """Return what an instance says of itself; raise ValueError."""
+        target = request.target.decode('latin-1')
+        instance = announcements.read_heartbeat_path(target)
+        try:
+            if instance is not None:
+                return announcements.decode_heartbeat(instance, request.body)
+            instance = announcements.read_leave_path(target)
+            if instance is not None:
+                born = announcements.decode_born(request.body)
+                return Leaving(instance, born)
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from None
+        return None
+
+    def write_acknowledgement(self) -> CallerResponse:
+        """Return the response to an announcement."""
+        return CallerResponse(200, list(_JSON), _ACKNOWLEDGEMENT)
--- /dev/null
+++ b/src/jasmineramp/platform/configuration.py
@@ -0,0 +1,140 @@
+"""Decode the operator's configuration into the table of the product."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from jasmineramp.authentication import digest_key
+from jasmineramp.ids import Revision, RowName, ServiceName, WorkspaceId
+from jasmineramp.mesh.calls import CallKind
+from jasmineramp.mesh.route_table import (
+    CallerLimits,
+    RankedWorkspace,
+    RouteRow,
+    RouteTable,
+    ServiceShare,
+)
+from jasmineramp.platform.wire_values import read_duration_ms
+from jasmineramp.table import KeyRow, WorkspaceRow
+
+CONFIGURATION_KEY = 'op/config'
+
+
+class _WireTarget(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _WireRoute(msgspec.Struct, rename='camel'):
+    hostname: str
+    prefix: str
+    route_type: str
+    timeout: str
+    # The time within which a response earns its full credit.
+    target_latency: str = '0ms'
+    # A rank: 0 is the most urgent.
+    priority: int = 0
+    service: str = ''
+    weighted_targets: list[_WireTarget] = []
+    # The number of upstreams that may see the call, with the first one.
+    max_attempts: int = 1
+    auth_exempt: bool = False
+
+
+class _WireService(msgspec.Struct, rename='camel'):
+    max_connections: int = 0
+
+
+class _WireLimits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout: str = '3000ms'
+    idle_timeout: str = '15000ms'
+
+
+class _WireTenant(msgspec.Struct):
+    keys: list[str] = msgspec.field(name='apiKeys', default_factory=list)
+    priority: int | None = None
+    # Requests a second over all nodes; 0 means no limit.
+    rate: float = msgspec.field(name='ratePerS', default=0)
+    burst: float = 0
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: str
+    routes: dict[str, _WireRoute]
+    services: dict[str, _WireService] = {}
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: dict[str, _WireTenant] = {}
+
+
+_decoder = msgspec.json.Decoder(_WireConfiguration)
+
+
+def decode_configuration(value: bytes, revision: Revision) -> RouteTable:
+    """Return the table; raise ValueError that names the place."""
+    wire = _decoder.decode(value)
+    limits = CallerLimits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        read_duration_ms(wire.limits.header_timeout),
+        read_duration_ms(wire.limits.idle_timeout),
+    )
+    return RouteTable(
+        revision,
+        wire.version,
+        routes=tuple(
+            _read_route(name, route) for name, route in wire.routes.items()
+        ),
+        workspaces=dict(_read_workspaces(wire.tenants)),
+        keys=tuple(_read_keys(wire.tenants)),
+        connections={
+            ServiceName(name): service.max_connections
+            for name, service in wire.services.items()
+        },
+        limits=limits,
+    )
+
+
+def _read_route(name: str, wire: _WireRoute) -> RouteRow:
+    if wire.weighted_targets:
+        targets = tuple(
+            ServiceShare(ServiceName(each.service), each.weight)
+            for each in wire.weighted_targets
+            if each.weight > 0
+        )
+    else:
+        targets = (ServiceShare(ServiceName(wire.service), 1),)
+    if not targets or any(not each.service for each in targets):
+        raise ValueError(f'route {name} has no service')
+    return RouteRow(
+        RowName(name),
+        wire.hostname.lower(),
+        wire.prefix,
+        targets,
+        CallKind.idempotent
+        if wire.route_type == 'idempotent'
+        else CallKind.once,
+        read_duration_ms(wire.timeout),
+        read_duration_ms(wire.target_latency),
+        wire.priority,
+        max(1, wire.max_attempts),
+        wire.auth_exempt,
+    )
+
+
+def _read_workspaces(
+    tenants: Mapping[str, _WireTenant],
+) -> Iterable[tuple[WorkspaceId, RankedWorkspace]]:
+    for name, tenant in tenants.items():
+        workspace = WorkspaceId(name)
+        rate = tenant.rate if math.isfinite(tenant.rate) else 0
+        row = WorkspaceRow(workspace, rate, tenant.burst)
+        yield workspace, RankedWorkspace(row, tenant.priority)
+
+
+def _read_keys(tenants: Mapping[str, _WireTenant]) -> Iterable[KeyRow]:
+    for name, tenant in tenants.items():
+        for key in tenant.keys:
+            yield KeyRow(digest_key(key), WorkspaceId(name))
--- /dev/null
+++ b/src/jasmineramp/platform/store_client.py
@@ -0,0 +1,339 @@
+"""Call the platform's store over HTTP/1.1."""
+
+import asyncio
+import base64
+import binascii
+from collections import Counter
+from collections.abc import Callable
+from urllib.parse import quote
+
+import httptools
+import msgspec
+
+from jasmineramp.ids import Revision
+from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
+from jasmineramp.platform.wire_values import write_duration_ms
+
+CONNECT_TIMEOUT_S = 0.5
+# The store answers in milliseconds and in a quarter of a second when slow.
+ANSWER_TIMEOUT_S = 0.9
+WATCH_MARGIN_S = 1.0
+LARGEST_KEPT = 4
+MILLIS_PER_SECOND = 1000
+
+_OUTCOMES = {
+    200: StoreOutcome.done,
+    404: StoreOutcome.missing,
+    410: StoreOutcome.compacted,
+    412: StoreOutcome.conflict,
+    403: StoreOutcome.not_done,
+    429: StoreOutcome.not_done,
+    503: StoreOutcome.not_done,
+}
+
+
+class _WireItem(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _WireReply(msgspec.Struct, rename='camel'):
+    """Hold the fields of every answer; each call uses a few of them."""
+
+    # The revision of the store, or of the write in the answer to a write.
+    current_rev: int = 0
+    revision: int = 0
+    items: list[_WireItem] = []
+    events: list[_WireItem] = []
+    truncated: bool = False
+    lease: int = 0
+    # Of the answer about one key.
+    key: str = ''
+    value: str = ''
+
+
+_decoder = msgspec.json.Decoder(_WireReply)
+_encoder = msgspec.json.Encoder()
+
+
+class _NotSentError(Exception):
+    """Report that a call did not leave this node."""
+
+
+class _LostError(Exception):
+    """Report that a call was sent and not answered."""
+
+
+class _StoreConnection(asyncio.Protocol):
+    """Exchange one call at a time with the store."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.future: asyncio.Future[tuple[int, bytes]] | None = None
+        self.body: list[bytes] = []
+        self.is_open = False
+        self.keep = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the call that waits."""
+        self.is_open = False
+        if self.future is not None and not self.future.done():
+            self.future.set_exception(_LostError(f'connection lost: {exc}'))
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self.body = []
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the response."""
+        self.keep = self.parser.should_keep_alive()
+        if self.future is not None and not self.future.done():
+            status = self.parser.get_status_code()
+            self.future.set_result((status, b''.join(self.body)))
+
+
+class StoreClient:
+    """Call the store; every call returns a reply and none raises.
+
+    The counts are those of the calls by kind and outcome.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self.idle: list[_StoreConnection] = []
+        self.counts: Counter[tuple[str, str]] = Counter()
+
+    async def get(self, key: str) -> StoreReply:
+        """Return the item of a key, read linearizably."""
+        path = f'/kv-key?key={quote(key, safe="")}'
+        return await self._call('get', 'GET', path, read=_read_one)
+
+    async def list_items(self, prefix: str, *, stale: bool) -> StoreReply:
+        """Return all items under a prefix; stale ones may be seconds old."""
+        prefix = quote(prefix, safe='')
+        base = f'/kv-range?prefix={prefix}&serializable={int(stale)}'
+        items: list[StoreItem] = []
+        reply = await self._call('list', 'GET', base, read=_read_many)
+        while reply.has_more and reply.items:
+            items.extend(reply.items)
+            after = quote(reply.items[-1].key, safe='')
+            reply = await self._call(
+                'list', 'GET', f'{base}&after={after}', read=_read_many
+            )
+        if reply.outcome is not StoreOutcome.done:
+            return reply
+        items.extend(reply.items)
+        return StoreReply(StoreOutcome.done, reply.revision, tuple(items))
+
+    async def watch(
+        self, prefix: str, after: Revision, wait_ms: float
+    ) -> StoreReply:
+        """Return what changed after a revision, at most after a wait."""
+        path = (
+            f'/kv-watch?prefix={quote(prefix, safe="")}&after={after}'
+            f'&waitMs={int(wait_ms)}'
+        )
+        wait = wait_ms / MILLIS_PER_SECOND + WATCH_MARGIN_S
+        return await self._call(
+            'watch', 'GET', path, read=_read_events, timeout=wait
+        )
+
+    async def put(
+        self, key: str, value: bytes, expected: Revision, lease: int
+    ) -> StoreReply:
+        """Write a key if its revision is the expected one, 0 for none."""
+        body = {
+            'precondition': [{'key': key, 'revision': expected}],
+            'puts': [
+                {
+                    'key': key,
+                    'value': base64.b64encode(value).decode(),
+                    'lease': lease,
+                }
+            ],
+            'deletes': [],
+        }
+        return await self._call('txn', 'POST', '/kv-txn', body)
+
+    async def delete(self, key: str, expected: Revision) -> StoreReply:
+        """Delete a key if its revision is the expected one."""
+        body = {
+            'precondition': [{'key': key, 'revision': expected}],
+            'puts': [],
+            'deletes': [key],
+        }
+        return await self._call('txn', 'POST', '/kv-txn', body)
+
+    async def grant_lease(self, ttl_ms: float) -> StoreReply:
+        """Create a lease."""
+        body = {'ttl_time': write_duration_ms(ttl_ms)}
+        return await self._call('lease', 'POST', '/kv-lease', body)
+
+    async def keep_lease(self, lease: int) -> StoreReply:
+        """Renew a lease."""
+        return await self._call('keep', 'POST', f'/kv-keep/{lease}')
+
+    async def end_lease(self, lease: int) -> StoreReply:
+        """End a lease and delete its keys."""
+        return await self._call('end', 'DELETE', f'/kv-lease-end/{lease}')
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            self.idle.pop().transport.close()
+
+    async def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        read: 'Callable[[_WireReply], StoreReply] | None' = None,
+        timeout: float = ANSWER_TIMEOUT_S,
+    ) -> StoreReply:
+        """Send a call; a read that was not answered changed nothing."""
+        try:
+            status, content = await self._exchange(method, path, body, timeout)
+        except _NotSentError as error:
+            reply = StoreReply(StoreOutcome.not_done, detail=str(error))
+        except _LostError as error:
+            lost = (
+                StoreOutcome.not_done
+                if method == 'GET'
+                else StoreOutcome.unknown
+            )
+            reply = StoreReply(lost, detail=str(error))
+        else:
+            reply = _read_reply(status, content, read or _read_write)
+        self.counts[name, reply.outcome.value] += 1
+        return reply
+
+    async def _exchange(
+        self, method: str, path: str, body: object, timeout: float
+    ) -> tuple[int, bytes]:
+        connection = self._take_idle() or await self._connect()
+        content = b'' if body is None else _encoder.encode(body)
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n'
+            f'Content-Type: application/json\r\n'
+            f'Content-Length: {len(content)}\r\n\r\n'
+        )
+        connection.future = asyncio.get_running_loop().create_future()
+        connection.transport.write(head.encode() + content)
+        try:
+            async with asyncio.timeout(timeout):
+                status, answer = await connection.future
+        except TimeoutError:
+            # The answer may be lost; nothing else comes on the connection.
+            connection.transport.abort()
+            raise _LostError(f'no answer in {timeout:.1f} s') from None
+        except asyncio.CancelledError:
+            connection.transport.abort()
+            raise
+        if connection.keep and len(self.idle) < LARGEST_KEPT:
+            self.idle.append(connection)
+        else:
+            connection.transport.close()
+        return status, answer
+
+    def _take_idle(self) -> _StoreConnection | None:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_open and not connection.transport.is_closing():
+                return connection
+        return None
+
+    async def _connect(self) -> _StoreConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    _StoreConnection, self.host, self.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise _NotSentError(f'cannot connect: {error!r}') from None
+        return connection
+
+
+def _read_reply(
+    status: int, content: bytes, read: 'Callable[[_WireReply], StoreReply]'
+) -> StoreReply:
+    outcome = _OUTCOMES.get(status, StoreOutcome.unknown)
+    detail = '' if status == 200 else f'HTTP status {status}'  # noqa: PLR2004
+    if outcome is not StoreOutcome.done and not content:
+        return StoreReply(outcome, detail=detail)
+    try:
+        wire = _decoder.decode(content)
+        if outcome is StoreOutcome.done:
+            return read(wire)
+        items = _read_items(wire.items)
+    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
+        if outcome is StoreOutcome.done:
+            return StoreReply(StoreOutcome.unknown, detail=str(error))
+        return StoreReply(outcome, detail=detail)
+    return StoreReply(outcome, Revision(wire.current_rev), items, detail=detail)
+
+
+def _read_one(wire: _WireReply) -> StoreReply:
+    item = StoreItem(
+        wire.key,
+        Revision(wire.revision),
+        base64.b64decode(wire.value, validate=True),
+    )
+    return StoreReply(StoreOutcome.done, Revision(wire.current_rev), (item,))
+
+
+def _read_many(wire: _WireReply) -> StoreReply:
+    return StoreReply(
+        StoreOutcome.done,
+        Revision(wire.current_rev),
+        _read_items(wire.items),
+        has_more=wire.truncated,
+    )
+
+
+def _read_events(wire: _WireReply) -> StoreReply:
+    return StoreReply(
+        StoreOutcome.done,
+        Revision(wire.current_rev),
+        _read_items(wire.events),
+    )
+
+
+def _read_write(wire: _WireReply) -> StoreReply:
+    return StoreReply(
+        StoreOutcome.done, Revision(wire.revision), lease=wire.lease
+    )
+
+
+def _read_items(wires: list[_WireItem]) -> tuple[StoreItem, ...]:
+    return tuple(
+        StoreItem(
+            wire.key,
+            Revision(wire.revision),
+            None
+            if wire.deleted
+            else base64.b64decode(wire.value, validate=True),
+        )
+        for wire in wires
+    )
--- /dev/null
+++ b/src/jasmineramp/platform/wire_values.py
@@ -0,0 +1,23 @@
+"""Read the values that the platform writes as text."""
+
+import math
+
+_UNITS_MS = {'ms': 1.0, 's': 1000.0}
+
+
+def read_duration_ms(text: object) -> float:
+    """Return a time such as 1500ms or 2.5s in ms; raise ValueError."""
+    if isinstance(text, str):
+        for unit, factor in _UNITS_MS.items():
+            if text.endswith(unit):
+                number = text[: -len(unit)]
+                if number and number[-1].isdigit():
+                    duration = float(number) * factor
+                    if math.isfinite(duration):
+                        return duration
+    raise ValueError(f'{text!r} is not a number with the unit ms or s')
+
+
+def write_duration_ms(duration_ms: float) -> str:
+    """Return a time in the platform's form."""
+    return f'{round(duration_ms)}ms'
--- /dev/null
+++ b/tests/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Test the node on the event loop."""
--- /dev/null
+++ b/tests/mesh/test_route_table.py
@@ -0,0 +1,108 @@
+"""Guard against calls that go to a service the table does not name."""
+
+import random
+import unittest
+from collections import Counter
+
+from jasmineramp.authentication import digest_key
+from jasmineramp.ids import Revision, RowName, ServiceName, WorkspaceId
+from jasmineramp.mesh.calls import CallKind
+from jasmineramp.mesh.route_table import (
+    RankedWorkspace,
+    RouteRow,
+    RouteTable,
+    ServiceShare,
+    TargetSplit,
+    importance_of,
+)
+from jasmineramp.table import KeyRow, WorkspaceRow
+
+
+def route(
+    name: str, prefix: str, *shares: tuple[str, float], rank: int = 0
+) -> RouteRow:
+    """Return a row for a host."""
+    return RouteRow(
+        RowName(name),
+        'shop.example',
+        prefix,
+        tuple(
+            ServiceShare(ServiceName(service), weight)
+            for service, weight in shares
+        ),
+        CallKind.idempotent,
+        1000,
+        500,
+        rank,
+        2,
+        False,
+    )
+
+
+class RouteTableTest(unittest.TestCase):
+    """The longest prefix of the host wins, and keys name workspaces."""
+
+    def setUp(self) -> None:
+        self.table = RouteTable(
+            Revision(1),
+            '1',
+            routes=(
+                route('outer', '/a/', ('x', 1)),
+                route('inner', '/a/b/', ('y', 1)),
+            ),
+            workspaces={
+                WorkspaceId('w'): RankedWorkspace(
+                    WorkspaceRow(WorkspaceId('w'), 1, 1), None
+                )
+            },
+            keys=(KeyRow(digest_key('secret'), WorkspaceId('w')),),
+        )
+
+    def test_longest_prefix(self) -> None:
+        for path, name in (
+            ('/a/c', 'outer'),
+            ('/a/b/c', 'inner'),
+            ('/a/b/', 'inner'),
+            ('/a/b', 'outer'),
+        ):
+            found = self.table.find('shop.example', path)
+            self.assertEqual(found and found.name, name, path)
+
+    def test_other_hosts_and_paths_are_unknown(self) -> None:
+        self.assertIsNone(self.table.find('other.example', '/a/'))
+        self.assertIsNone(self.table.find('shop.example', '/b/'))
+        self.assertIsNone(self.table.find('shop.example', '/a'))
+
+    def test_key_names_its_workspace(self) -> None:
+        found = self.table.find_workspace('secret')
+        self.assertEqual(found and found.row.name, 'w')
+        self.assertIsNone(self.table.find_workspace('other'))
+
+
+class TargetSplitTest(unittest.TestCase):
+    """Shares follow the weights over short spans."""
+
+    def test_shares(self) -> None:
+        row = route('r', '/', ('x', 90), ('y', 10))
+        split = TargetSplit(random.Random(1))
+        counts = Counter(split.choose(row) for _ in range(100))
+        self.assertAlmostEqual(counts[ServiceName('x')], 90, delta=2)
+
+    def test_changed_targets_start_anew(self) -> None:
+        split = TargetSplit(random.Random(1))
+        split.choose(route('r', '/', ('x', 1), ('y', 1)))
+        row = route('r', '/', ('x', 1), ('z', 1))
+        counts = Counter(split.choose(row) for _ in range(50))
+        self.assertEqual(set(counts), {'x', 'z'})
+
+
+class ImportanceTest(unittest.TestCase):
+    """The most urgent rank is the most important."""
+
+    def test_ranks(self) -> None:
+        ranks = [
+            importance_of(route('r', '/', ('x', 1), rank=rank), None)
+            for rank in range(6)
+        ]
+        self.assertEqual(ranks, sorted(ranks, reverse=True))
+        self.assertGreater(ranks[0], ranks[1])
--- /dev/null
+++ b/tests/mesh/test_upstream_state.py
@@ -0,0 +1,82 @@
+"""Guard against using an instance that has left or was replaced."""
+
+import unittest
+
+from jasmineramp.clock import Millis
+from jasmineramp.ids import DomainId, ServiceName
+from jasmineramp.membership_messages import UpstreamState
+from jasmineramp.mesh.upstream_state import Announcement, UpstreamRecord
+
+NOW = Millis(1000)
+
+
+def say(
+    instance: str = 'i-1',
+    born: int = 100,
+    sequence: int = 1,
+    state: UpstreamState = UpstreamState.ready,
+) -> Announcement:
+    """Return an announcement."""
+    return Announcement(
+        instance,
+        born,
+        '10.0.0.1:80',
+        ServiceName('orders'),
+        DomainId('a'),
+        10,
+        state,
+        sequence,
+        0,
+    )
+
+
+class UpstreamRecordTest(unittest.TestCase):
+    """Announcements that come late or out of order change nothing."""
+
+    def setUp(self) -> None:
+        self.record = UpstreamRecord()
+
+    def test_first_announcement_makes_it_ready(self) -> None:
+        self.assertTrue(self.record.announce(say(), NOW))
+        self.assertTrue(self.record.is_ready())
+
+    def test_draining_stays_although_a_late_ready_arrives(self) -> None:
+        self.record.announce(say(sequence=1), NOW)
+        self.record.announce(say(sequence=3, state=UpstreamState.draining), NOW)
+        self.record.announce(say(sequence=2), NOW)
+        self.record.announce(say(sequence=4), NOW)
+        self.assertFalse(self.record.is_ready())
+
+    def test_late_announcement_after_the_leave_is_ignored(self) -> None:
+        self.record.announce(say(), NOW)
+        self.assertTrue(self.record.leave('i-1', None, NOW))
+        self.assertFalse(self.record.announce(say(sequence=9), NOW))
+        self.assertFalse(self.record.is_ready())
+
+    def test_restart_under_the_same_id_is_a_new_incarnation(self) -> None:
+        self.record.announce(say(sequence=50), NOW)
+        self.record.leave('i-1', None, NOW)
+        self.assertTrue(self.record.announce(say(born=200), NOW))
+        self.assertTrue(self.record.is_ready())
+
+    def test_announcement_of_a_predecessor_is_ignored(self) -> None:
+        self.record.announce(say('i-2', born=200), NOW)
+        self.assertFalse(self.record.announce(say('i-1', sequence=9), NOW))
+        self.assertEqual(self.record.current, say('i-2', born=200))
+
+    def test_leave_of_another_instance_changes_nothing(self) -> None:
+        self.record.announce(say('i-2', born=200), NOW)
+        self.assertFalse(self.record.leave('i-1', None, NOW))
+        self.assertTrue(self.record.is_ready())
+
+    def test_late_leave_of_an_earlier_incarnation(self) -> None:
+        self.record.announce(say(born=200), NOW)
+        self.assertFalse(self.record.leave('i-1', 100, NOW))
+        self.assertTrue(self.record.is_ready())
+
+    def test_refused_connection_needs_a_new_announcement(self) -> None:
+        self.record.announce(say(sequence=1), NOW)
+        self.assertTrue(self.record.lose())
+        self.assertFalse(self.record.is_ready())
+        self.assertTrue(self.record.announce(say(sequence=2), NOW))
+        self.assertTrue(self.record.is_ready())
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the binding to the platform."""
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,46 @@
+"""Guard against a node that starts on settings it can't use."""
+
+import unittest
+
+from jasmineramp.exceptions import SettingsError
+from jasmineramp.platform.settings import decode_settings
+
+LINES = """
+self.node=sidecar-a-1
+self.zone=a
+self.service=orders
+self.appAddr=10.1.0.26:8547
+network.listen.inbound=10.1.0.26:8543
+network.listen.outbound=10.1.0.26:8548
+network.listen.ready=10.1.0.26:8546
+network.listen.control=10.1.0.26:8540
+network.internalPortRange=7000,7015
+platform.heartbeat=1500ms
+platform.platform.address=10.200.1.7:8545
+terms.bounds.revoke=5s
+terms.bounds.retryBudgetRatio=0.2
+unknown.field=1
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Fields are decoded, and faults name their place."""
+
+    def test_fields(self) -> None:
+        settings = decode_settings(LINES)
+        self.assertEqual(settings.outbound, ('10.1.0.26', 8548))
+        self.assertEqual(settings.bounds.revoke_ms, 5000)
+        self.assertEqual(settings.bounds.drain_ms, 2000)
+
+    def test_missing_and_wrong_fields(self) -> None:
+        for line, place in (
+            ('self.node=sidecar-a-1', 'self.node'),
+            ('network.listen.ready=10.1.0.26:8546', 'network.listen.ready'),
+        ):
+            with self.assertRaises(SettingsError) as caught:
+                decode_settings(LINES.replace(line, ''))
+            self.assertEqual(caught.exception.place, place)
+
+    def test_wrong_unit(self) -> None:
+        with self.assertRaises(SettingsError):
+            decode_settings(LINES.replace('revoke=5s', 'revoke=5m'))
