Order directory entries by the store and test whole nodes

Cause: entries were ordered by incarnations taken from the time of day, which may be set back; a restarted node would have been ignored.

Change: the revision of the store orders entries; an instance born early by its clock is accepted once the present one is silent; an entry left by an earlier process is overwritten at once.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -79,9 +79,11 @@
                 connection.transport.close()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening and close the connections that are left."""
         if self.server is not None:
             self.server.close()
+        for connection in list(self.connections):
+            connection.transport.close()
 
     def expire(self, now: float) -> None:
         """Close connections that idle or send their head too slowly."""
--- a/src/jasmineramp/mesh/directory.py
+++ b/src/jasmineramp/mesh/directory.py
@@ -15,11 +15,10 @@
 class MemberEntry(msgspec.Struct, frozen=True):
     """Hold what a node registers about itself and its upstream.
 
-    A later version replaces an earlier one of the same incarnation.
+    Born is the Unix time in ms at which the instance started.
     """
 
     node: NodeId
-    incarnation: int
     version: int
     domain: DomainId
     host: str
@@ -54,6 +53,8 @@
         self.members: dict[NodeId, MemberEntry] = {}
         self.absent: dict[NodeId, Millis] = {}
         self.unreadable: set[str] = set()
+        # Entries are ordered by the store, not by clocks of VMs.
+        self.revisions: dict[NodeId, Revision] = {}
 
     def replace_all(
         self, items: tuple[StoreItem, ...], now: Millis
@@ -110,11 +111,12 @@
             self.unreadable.add(item.key)
             return None
         self.absent.pop(entry.node, None)
-        known = self.members.get(entry.node)
-        if known is not None and _age(known) >= _age(entry):
+        if item.revision <= self.revisions.get(entry.node, 0):
             return None
+        self.revisions[entry.node] = item.revision
+        known = self.members.get(entry.node)
         self.members[entry.node] = entry
-        return entry
+        return None if known == entry else entry
 
 
 def key_of(node: NodeId) -> str:
@@ -122,14 +124,10 @@
     return f'{PREFIX}{node}'
 
 
-def max_revision(items: tuple[StoreItem, ...], least: Revision) -> Revision:
-    """Return the greatest revision among items and a least one."""
-    return max((each.revision for each in items), default=least)
+def max_revision(items: tuple[StoreItem, ...]) -> Revision:
+    """Return the greatest revision among items, 0 when there are none."""
+    return max((each.revision for each in items), default=Revision(0))
 
 
 def _node_of(key: str) -> NodeId:
     return NodeId(key.removeprefix(PREFIX))
-
-
-def _age(entry: MemberEntry) -> tuple[int, int]:
-    return entry.incarnation, entry.version
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -111,7 +111,6 @@
         self.clock = clock
         bounds = settings.bounds
         rng = random.Random(f'{settings.node}/{time.time_ns()}')
-        self.incarnation = time.time_ns() // 1_000_000
         self.freshness = Freshness(bounds.apply_ms, bounds.revoke_ms)
         self.directory = Directory()
         self.routes = routing.RoutingState(settings.domain, rng, clock.now())
@@ -185,7 +184,6 @@
             'node_started',
             service=self.settings.service,
             domain=self.settings.domain,
-            incarnation=self.incarnation,
         )
 
     async def stop(self) -> None:
@@ -210,6 +208,10 @@
             task.cancel()
         for link in self.links.values():
             link.close()
+        for session in list(self.sessions):
+            session.transport.close()
+        self.peers.close()
+        self.gate.pool.close()
         self.log.flush()
 
     def run_for_peer(self, session: PeerSession, frame: Run) -> None:
@@ -262,7 +264,6 @@
         host, port = self.settings.inbound
         entry = MemberEntry(
             self.settings.node,
-            self.incarnation,
             version,
             self.settings.domain,
             host,
@@ -272,7 +273,6 @@
             return entry
         return MemberEntry(
             entry.node,
-            entry.incarnation,
             version,
             entry.domain,
             host,
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -14,6 +14,7 @@
     Directory,
     MemberEntry,
     key_of,
+    max_revision,
 )
 from jasmineramp.mesh.store import Store, StoreOutcome, StoreReply
 
@@ -112,7 +113,11 @@
             return True
         if reply.outcome is StoreOutcome.missing:
             self._lose_lease('lease is unknown')
-        elif reply.outcome is not StoreOutcome.not_done:
+        elif reply.outcome is StoreOutcome.conflict:
+            # An earlier process of this node has left its entry.
+            self.revision = max_revision(reply.items)
+            self.changed.set()
+        elif reply.outcome is StoreOutcome.unknown:
             await self._read_back(key, entry)
         return False
 
--- a/src/jasmineramp/mesh/upstream_state.py
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -8,6 +8,8 @@
 
 # An upstream that leaves serves for a while; later it can't come back late.
 LEFT_MEMORY_MS = 60_000
+# Two announcements in a row that did not come.
+SILENCE_MS = 3_500
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -36,6 +38,7 @@
         self.state = UpstreamState.starting
         self.heard = Millis(0)
         self.left: dict[str, tuple[int, Millis]] = {}
+        self.challenger: Announcement | None = None
 
     def announce(self, announcement: Announcement, now: Millis) -> bool:
         """Take an announcement; return whether state or instance changed.
@@ -47,8 +50,9 @@
         if left is not None and announcement.born <= left[0]:
             return False
         current = self.current
-        if current is not None and not _supersedes(announcement, current):
+        if current is not None and not self._accepts(announcement, now):
             return False
+        self.challenger = None
         is_same = current is not None and _is_same(announcement, current)
         was_slots = current.slots if current is not None else 0
         before = self.state
@@ -62,6 +66,23 @@
             or was_slots != announcement.slots
         )
 
+    def _accepts(self, announcement: Announcement, now: Millis) -> bool:
+        current = self.current
+        if current is None or _supersedes(announcement, current):
+            return True
+        if _is_same(announcement, current):
+            return False
+        # A clock that was set back gives a new instance an early birth. It
+        # announces itself again and again, the present one does not.
+        challenger = self.challenger
+        self.challenger = announcement
+        return (
+            challenger is not None
+            and _is_same(announcement, challenger)
+            and announcement.sequence > challenger.sequence
+            and now - self.heard > SILENCE_MS
+        )
+
     def leave(self, instance: str, born: int | None, now: Millis) -> bool:
         """Take the leave of an instance; return whether it was in use."""
         current = self.current
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -209,11 +209,13 @@
         body: object = None,
         *,
         read: 'Callable[[_WireReply], StoreReply] | None' = None,
-        timeout: float = ANSWER_TIMEOUT_S,
+        timeout: float | None = None,
     ) -> StoreReply:
         """Send a call; a read that was not answered changed nothing."""
         try:
-            status, content = await self._exchange(method, path, body, timeout)
+            status, content = await self._exchange(
+                method, path, body, timeout or ANSWER_TIMEOUT_S
+            )
         except _NotSentError as error:
             reply = StoreReply(StoreOutcome.not_done, detail=str(error))
         except _LostError as error:
--- /dev/null
+++ b/tests/mesh/test_node.py
@@ -0,0 +1,221 @@
+"""Guard the promises of the table over whole nodes."""
+
+import asyncio
+import copy
+import unittest
+
+from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.calls import CallerRequest
+from tests.fakes.mesh import CONFIGURATION, KEY, Fleet, request
+
+SIGNATURE = 'X-Jasmineramp-Response-Signature'
+
+
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+    """Two nodes, two upstreams of one service and a store."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(2)
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a call ran, over all upstreams."""
+        return sum(each.ran[request_id] for each in self.fleet.upstreams)
+
+    async def lose_answer(self, _request: CallerRequest) -> None:
+        """Run a call and cut the connection."""
+
+    async def fail(self, _request: CallerRequest) -> CallerResponse:
+        """Answer with a failure."""
+        return CallerResponse(500, [], b'broken')
+
+    async def hang(self, _request: CallerRequest) -> CallerResponse:
+        """Run a call without an end."""
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    def behave(self, behaviour: object) -> None:
+        """Let every upstream behave in a way."""
+        for upstream in self.fleet.upstreams:
+            upstream.behave = behaviour  # type: ignore[assignment]
+
+    async def test_answer_is_the_upstreams(self) -> None:
+        status, headers, body = await self.fleet.call(
+            0, '/buy/1?q=2', 'id-1', method='POST', body=b'order'
+        )
+        self.assertEqual((status, body), (200, b'/buy/1?q=2order'))
+        self.assertIn(headers[SIGNATURE], {'i-0', 'i-1'})
+        self.assertEqual(self.runs('id-1'), 1)
+
+    async def test_key_stays_here_and_workspace_is_named(self) -> None:
+        await self.fleet.call(0, '/read/1', 'id-1')
+        seen = [
+            headers
+            for upstream in self.fleet.upstreams
+            for headers in upstream.headers
+        ]
+        self.assertEqual(seen[0]['x-jasmineramp-tenant'], 'shop')
+        self.assertEqual(seen[0]['x-jasmineramp-caller-service'], 'orders')
+        self.assertNotIn(KEY, str(seen))
+
+    async def test_unknown_keys_and_routes_do_not_run(self) -> None:
+        for path, key, expected in (
+            ('/read/1', 'other', 401),
+            ('/read/1', '', 401),
+            ('/none/1', KEY, 404),
+        ):
+            status, _, _ = await self.fleet.call(0, path, 'id-1', key=key)
+            self.assertEqual(status, expected)
+        self.assertEqual(self.runs('id-1'), 0)
+
+    async def test_old_table_denies_nothing_for_good(self) -> None:
+        self.fleet.nodes[0].freshness.apply_ms = 0
+        status, _, _ = await self.fleet.call(0, '/none/1', 'id-1')
+        self.assertEqual(status, 503)
+
+    async def test_old_table_admits_no_key(self) -> None:
+        self.fleet.nodes[0].freshness.revoke_ms = 0
+        status, headers, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 503)
+        self.assertIn('Retry-After', headers)
+        status, _, _ = await self.fleet.call(0, '/inner/1', 'id-2', key='')
+        self.assertEqual(status, 200)
+
+    async def test_lost_answer_of_a_call_that_may_run_once(self) -> None:
+        self.behave(self.lose_answer)
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual(status, 502)
+        self.assertEqual(self.runs('id-1'), 1)
+
+    async def test_lost_answer_of_an_idempotent_call_is_repeated(self) -> None:
+        self.fleet.upstreams[0].behave = self.lose_answer  # type: ignore
+        for each in range(4):
+            self.fleet.nodes[0].budget.credit.clear()
+            status, _, _ = await self.fleet.call(0, '/read/1', f'id-{each}')
+            self.assertEqual(status, 200)
+            self.assertLessEqual(self.runs(f'id-{each}'), 2)
+
+    async def test_failure_of_an_upstream_is_passed_on(self) -> None:
+        self.behave(self.fail)
+        status, headers, body = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual((status, body), (500, b'broken'))
+        self.assertIn(SIGNATURE, headers)
+        self.assertEqual(self.runs('id-1'), 1)
+
+    async def test_call_ends_at_the_timeout_of_its_row(self) -> None:
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration['routes']['buy']['timeout'] = '200ms'  # type: ignore
+        self.fleet.configure(configuration)
+        await self.fleet.until(
+            lambda: all(
+                node.entry.table.routes[1].timeout_ms == 200
+                for node in self.fleet.nodes
+                if node.entry.table
+            )
+        )
+        self.behave(self.hang)
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual(status, 504)
+        await self.fleet.until(
+            lambda: sum(each.cancelled for each in self.fleet.upstreams) == 1
+        )
+
+    async def test_work_stops_when_the_caller_leaves(self) -> None:
+        self.behave(self.hang)
+        calls = [
+            asyncio.create_task(self.fleet.call(0, '/read/1', f'id-{each}'))
+            for each in range(6)
+        ]
+        await self.fleet.until(
+            lambda: sum(self.runs(f'id-{each}') for each in range(6)) == 6
+        )
+        for call in calls:
+            call.cancel()
+        await self.fleet.until(
+            lambda: sum(each.cancelled for each in self.fleet.upstreams) == 6
+        )
+
+    async def test_leaving_upstream_gets_no_new_call(self) -> None:
+        self.assertEqual(await self.fleet.announce(0, 'draining'), 200)
+        for each in range(20):
+            status, _, _ = await self.fleet.call(
+                each % 2, '/read/1', f'id-{each}'
+            )
+            self.assertEqual(status, 200)
+        self.assertFalse(self.fleet.upstreams[0].ran)
+
+    async def test_unreadable_announcement_changes_nothing(self) -> None:
+        for fields in (
+            {'info': {'service': 'orders'}},
+            {'status': {'state': 'odd', 'sequence': 99}},
+            {'address': 7},
+        ):
+            self.assertEqual(await self.fleet.announce(0, **fields), 400)
+        self.assertTrue(self.fleet.nodes[0].record.is_ready())
+
+    async def test_withdrawn_key_stops_working(self) -> None:
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration['tenants']['shop']['apiKeys'] = ['new']  # type: ignore
+        self.fleet.configure(configuration)
+        await asyncio.sleep(0)
+
+        def is_in_force() -> bool:
+            return all(
+                node.entry.table is not None
+                and node.entry.table.revision == self.fleet.store.revision
+                for node in self.fleet.nodes
+            )
+
+        await self.fleet.until(is_in_force)
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 401)
+        self.assertEqual(self.runs('id-1'), 0)
+
+    async def test_response_of_another_call_is_not_delivered(self) -> None:
+        async def mix_up(_request: CallerRequest) -> CallerResponse:
+            return CallerResponse(
+                200, [(b'X-Jasmineramp-Request-Id', b'other')], b'stray'
+            )
+
+        self.behave(mix_up)
+        status, _, body = await self.fleet.call(
+            0, '/buy/1', 'id-1', deadline=400
+        )
+        self.assertIn(status, {502, 504})
+        self.assertNotIn(b'stray', body)
+
+    async def test_unsigned_success_is_a_failure(self) -> None:
+        for upstream in self.fleet.upstreams:
+            upstream.sign = lambda response, _: response  # type: ignore
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual(status, 502)
+
+    async def test_two_lengths_are_refused(self) -> None:
+        address = self.fleet.nodes[0].settings.outbound
+        status, _, _ = await request(
+            address,
+            'POST',
+            '/buy/1',
+            {'Host': 'a.example', 'Transfer-Encoding': 'chunked'},
+            b'0\r\n\r\n',
+        )
+        self.assertEqual(status, 400)
+
+    async def test_readiness_follows_the_stop(self) -> None:
+        node = self.fleet.nodes[0]
+        status, _, _ = await request(
+            node.settings.ready, 'GET', '/readiness', {}
+        )
+        self.assertEqual(status, 200)
+        stop = asyncio.create_task(node.stop())
+        await self.fleet.until(lambda: node.stopping_since is not None)
+        status, _, _ = await request(
+            node.settings.ready, 'GET', '/readiness', {}
+        )
+        self.assertEqual(status, 503)
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 200)
+        await stop
