Serve metrics of a node in the Prometheus text format

Cause: engineers on call have logs and metrics only; a node on the platform showed no metrics.

Change: counters of calls by row and outcome, refusals, repeats and store calls, histograms of call and upstream times, gauges of queue, limit, table age and loop lag. The text library is imported when asked.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -7,7 +7,13 @@
 
 from jasmineramp import routing
 from jasmineramp.clock import Clock, Millis, later
-from jasmineramp.ids import Importance, NodeId, ServiceName, WorkspaceId
+from jasmineramp.ids import (
+    Importance,
+    NodeId,
+    RowName,
+    ServiceName,
+    WorkspaceId,
+)
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
 from jasmineramp.mesh.caller_http import CallerResponse
@@ -26,6 +32,7 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.instance_gate import InstanceGate
+from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.peer_links import (
     LinkDownError,
     LinkLostError,
@@ -154,6 +161,7 @@
         budget: RetryBudget,
         split: TargetSplit,
         freshness: Freshness,
+        metrics: NodeMetrics,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
@@ -166,6 +174,7 @@
         self.budget = budget
         self.split = split
         self.freshness = freshness
+        self.metrics = metrics
         self.log = log
         self.clock = clock
         self.table: RouteTable | None = None
@@ -352,7 +361,9 @@
         self, admitted: AdmittedCall, instance: Instance, left_ms: float
     ) -> CallEnd:
         """Send the call to the node beside an instance."""
-        if not admitted.attempts:
+        if admitted.attempts:
+            self.metrics.repeats[admitted.service] += 1
+        else:
             self.budget.count_send(admitted.service)
         call = admitted.upstream_call
         call.left_ms = left_ms
@@ -413,6 +424,8 @@
         received: Millis,
     ) -> CallerResponse:
         took_ms = self.clock.now() - received
+        row = RowName('') if admitted is None else admitted.route.name
+        self.metrics.record_call(row, end, took_ms)
         if isinstance(end, Answer):
             self.log.write(
                 'answered',
@@ -437,7 +450,7 @@
         self.log.write(
             'refused' if end.run is RunState.not_run else 'failed',
             request=head.request_id,
-            route='' if admitted is None else admitted.route.name,
+            route=row,
             sends=0 if admitted is None else admitted.attempts,
             tried=[] if admitted is None else sorted(admitted.excluded),
             status=status,
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -21,6 +21,7 @@
     not_run,
     unknown,
 )
+from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.slot_limit import SlotLimiter
 from jasmineramp.mesh.upstream_http import (
     FRESH_MS,
@@ -52,12 +53,15 @@
         pool: UpstreamPool,
         write_call: CallWriter,
         on_lost: Callable[[], None],
+        *,
+        metrics: NodeMetrics,
         clock: Clock,
     ) -> None:
         self.record = record
         self.pool = pool
         self.write_call = write_call
         self.on_lost = on_lost
+        self.metrics = metrics
         self.clock = clock
         self.admission = AdmissionState(SlotLimiter(1))
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
@@ -117,8 +121,10 @@
             return refused
         with contextlib.ExitStack() as stack:
             stack.callback(self._finish, call_id, CallOutcome.cancelled)
+            started = self.clock.now()
             end = await self._send(call, deadline)
             stack.pop_all()
+        self.metrics.upstream_time.record(self.clock.now() - started)
         self._finish(call_id, _outcome_of(end))
         return end
 
--- /dev/null
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -0,0 +1,85 @@
+"""Render the metrics of a node in the Prometheus text format.
+
+Imported when somebody asks for the metrics, because the library takes 3 MB.
+"""
+
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+
+from jasmineramp.mesh.node_metrics import Gauges, NodeMetrics
+
+PREFIX = 'jasmineramp_'
+
+
+class _NodeCollector:
+    """Give the figures of a node to the library."""
+
+    def __init__(self, metrics: NodeMetrics, gauges: Gauges) -> None:
+        self.metrics = metrics
+        self.gauges = gauges
+
+    def collect(self) -> Iterable[object]:
+        """Return the families of metrics."""
+        yield from _call_families(self.metrics, self.gauges)
+        yield from _gauge_families(self.gauges)
+
+
+def render_metrics(metrics: NodeMetrics, gauges: Gauges) -> bytes:
+    """Return the text of all metrics."""
+    registry = CollectorRegistry()
+    registry.register(_NodeCollector(metrics, gauges))
+    return bytes(generate_latest(registry))
+
+
+def _call_families(metrics: NodeMetrics, gauges: Gauges) -> Iterable[object]:
+    calls = CounterMetricFamily(
+        f'{PREFIX}calls', 'Calls of callers.', labels=('row', 'outcome')
+    )
+    for (row, outcome), count in metrics.calls.items():
+        calls.add_metric((row, outcome), count)
+    yield calls
+    store = CounterMetricFamily(
+        f'{PREFIX}store_calls', 'Store calls.', labels=('call', 'outcome')
+    )
+    for labels, count in gauges.store_calls.items():
+        store.add_metric(labels, count)
+    yield store
+    for name, text, counter in (
+        ('refusals', 'Refusals by code.', metrics.refusals),
+        ('repeats', 'Repeated sends by service.', metrics.repeats),
+    ):
+        family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
+        for label, count in counter.items():
+            family.add_metric((label,), count)
+        yield family
+    for name, text, histogram in (
+        ('call_seconds', 'Calls of callers.', metrics.call_time),
+        ('upstream_seconds', 'Calls at the upstream.', metrics.upstream_time),
+    ):
+        times = HistogramMetricFamily(f'{PREFIX}{name}', text)
+        times.add_metric((), histogram.cumulative(), histogram.total / 1000)
+        yield times
+
+
+def _gauge_families(gauges: Gauges) -> Iterable[object]:
+    credit = GaugeMetricFamily(
+        f'{PREFIX}retry_credit', 'Repeats left by service.', labels=('name',)
+    )
+    for service, left in gauges.retry_credit.items():
+        credit.add_metric((service,), left)
+    yield credit
+    for name, figure in (
+        ('running', gauges.running),
+        ('queued', gauges.queued),
+        ('limit', gauges.limit),
+        ('nodes', gauges.nodes),
+        ('table_age_seconds', gauges.table_age_ms / 1000),
+        ('loop_lag_seconds', gauges.loop_lag_ms / 1000),
+    ):
+        yield GaugeMetricFamily(f'{PREFIX}{name}', name, value=figure)
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -1,6 +1,7 @@
 """Compose the parts of a node and run them on one event loop."""
 
 import asyncio
+import importlib
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -25,6 +26,10 @@
 from jasmineramp.mesh.entry import Dialect, Entry
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.instance_gate import InstanceGate
+from jasmineramp.mesh.node_metrics import (
+    Gauges,
+    NodeMetrics,
+)
 from jasmineramp.mesh.node_settings import NodeSettings
 from jasmineramp.mesh.peer_links import PeerLink, PeerSession
 from jasmineramp.mesh.peer_messages import (
@@ -55,6 +60,8 @@
 # The rest of the grace period is for the end of the process.
 USABLE_GRACE = 0.86
 MILLIS_PER_SECOND = 1000
+METRICS_PATH = b'/metrics'
+METRICS_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
 
 class Platform(Dialect, Protocol):
@@ -116,12 +123,15 @@
         self.routes = routing.RoutingState(settings.domain, rng, clock.now())
         self.budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack)
         self.record = UpstreamRecord()
+        self.metrics = NodeMetrics()
+        self.lag_ms = float(0)
         self.gate = InstanceGate(
             self.record,
             UpstreamPool(*settings.upstream, platform.read_response),
             platform.write_call,
             self._on_upstream_lost,
-            clock,
+            metrics=self.metrics,
+            clock=clock,
         )
         self.registration = Registration(store, self._own_entry, log, clock)
         self.quotas = FleetQuotas(
@@ -137,6 +147,7 @@
             budget=self.budget,
             split=TargetSplit(rng),
             freshness=self.freshness,
+            metrics=self.metrics,
             log=log,
             clock=clock,
         )
@@ -158,6 +169,7 @@
         self.callers = CallerServer(self.entry.handle, self._limits)
         self.announcements = CallerServer(self._take_announcement, self._limits)
         self.checks = CallerServer(self._check_readiness, self._limits)
+        self.scrapes = CallerServer(self._show_metrics, self._limits)
         self.stopping_since: Millis | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.ticks = 0
@@ -167,6 +179,7 @@
         loop = asyncio.get_running_loop()
         await self.checks.listen(*self.settings.ready)
         await self.announcements.listen(*self.settings.control)
+        await self.scrapes.listen(*self.settings.metrics)
         await self.callers.listen(*self.settings.outbound)
         self.peers = await loop.create_server(
             lambda: PeerSession(self, self.sessions),
@@ -202,7 +215,7 @@
 
     def close(self) -> None:
         """Close servers, links and tasks."""
-        for server in (self.callers, self.announcements, self.checks):
+        for server in self._servers():
             server.stop()
         for task in self.tasks:
             task.cancel()
@@ -255,6 +268,9 @@
     def _open_calls(self) -> int:
         return self.callers.requests + self.gate.running()
 
+    def _servers(self) -> tuple[CallerServer, ...]:
+        return self.callers, self.announcements, self.checks, self.scrapes
+
     def _limits(self) -> CallerLimits:
         table = self.entry.table
         return CallerLimits() if table is None else table.limits
@@ -412,6 +428,26 @@
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         return CallerResponse(status, [])
 
+    async def _show_metrics(self, request: CallerRequest) -> CallerResponse:
+        if request.target != METRICS_PATH:
+            return CallerResponse(HTTPStatus.NOT_FOUND, [])
+        state = self.gate.admission
+        gauges = Gauges(
+            len(state.running),
+            len(state.queue.entries),
+            state.limiter.limit,
+            len(self.directory.members),
+            self.freshness.age(self.clock.now()),
+            self.lag_ms,
+            self.budget.credit,
+            self.store.counts,
+        )
+        text = importlib.import_module('jasmineramp.mesh.metrics_text')
+        content = text.render_metrics(self.metrics, gauges)
+        return CallerResponse(
+            HTTPStatus.OK, [(b'Content-Type', METRICS_TYPE)], content
+        )
+
     async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
         """Run background work again when a fault ends it."""
         while True:
@@ -424,7 +460,10 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            asleep = self.clock.now()
             await asyncio.sleep(TICK_S)
+            slept_ms = self.clock.now() - asleep
+            self.lag_ms = slept_ms - TICK_S * MILLIS_PER_SECOND
             self._tick()
 
     def _tick(self) -> None:
@@ -441,7 +480,7 @@
         for link in self.links.values():
             if link.is_suspect():
                 link.ensure()
-        for server in (self.callers, self.announcements, self.checks):
+        for server in self._servers():
             server.expire(loop_time)
         gone = self.directory.expire(now)
         for member in gone:
--- a/src/jasmineramp/mesh/store.py
+++ b/src/jasmineramp/mesh/store.py
@@ -1,6 +1,7 @@
 """Define what a node needs of the store in which lasting state lives."""
 
 import enum
+from collections import Counter
 from typing import Protocol
 
 import msgspec
@@ -43,7 +44,12 @@
 
 
 class Store(Protocol):
-    """Read, write and watch keys; no call raises."""
+    """Read, write and watch keys; no call raises.
+
+    The counts are those of the calls by kind and outcome.
+    """
+
+    counts: Counter[tuple[str, str]]
 
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -193,6 +193,20 @@
         status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
         self.assertEqual(status, 502)
 
+    async def test_metrics_count_calls_and_refusals(self) -> None:
+        await self.fleet.call(0, '/read/1', 'id-1')
+        await self.fleet.call(0, '/read/1', 'id-2', key='other')
+        status, _, body = await request(
+            self.fleet.nodes[0].settings.metrics, 'GET', '/metrics', {}
+        )
+        self.assertEqual(status, 200)
+        for line in (
+            b'jasmineramp_calls_total{outcome="answered",row="read"} 1.0',
+            b'jasmineramp_refusals_total{name="key_unknown"} 1.0',
+            b'jasmineramp_call_seconds_bucket{le="15.0"} 1.0',
+        ):
+            self.assertIn(line, body)
+
     async def test_two_lengths_are_refused(self) -> None:
         address = self.fleet.nodes[0].settings.outbound
         status, _, _ = await request(
