Log repeats, refusals and failures with the inputs that decided them

Cause: a failed request could not be followed from its id to the instance that failed it; settings were read but not adopted on SIGHUP.

Change: lines for each repeated send, each refusal by the node beside an upstream and each failed exchange; bounds by kind, successes sampled. New settings are adopted with or without a signal.

--- a/src/jasmineramp/mesh/decision_log.py
+++ b/src/jasmineramp/mesh/decision_log.py
@@ -9,8 +9,10 @@
 
 from jasmineramp.ids import NodeId
 
-# Enough to follow single requests without filling a disk under overload.
-LINES_A_SECOND = 20
+# Failures and refusals are looked for, successes only sampled.
+LINES_A_SECOND = 100
+SAMPLED_LINES_A_SECOND = 20
+SAMPLED_EVENTS = frozenset(('answered',))
 LARGEST_BACKLOG_BYTES = 256 * 1024
 _STDOUT = 1
 
@@ -38,7 +40,9 @@
         now = time.time()
         if int(now) != self.second:
             self._start_second(int(now))
-        if self.written[event] >= LINES_A_SECOND:
+        sampled = event in SAMPLED_EVENTS
+        bound = SAMPLED_LINES_A_SECOND if sampled else LINES_A_SECOND
+        if self.written[event] >= bound:
             self.dropped[event] += 1
             return
         self.written[event] += 1
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -1,6 +1,5 @@
 """Follow a call through its entry node, from the caller to an answer."""
 
-import asyncio
 from typing import Protocol
 
 import msgspec
@@ -33,12 +32,10 @@
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.instance_gate import InstanceGate
 from jasmineramp.mesh.node_metrics import NodeMetrics
+from jasmineramp.mesh.peer_calls import run_at_peer
 from jasmineramp.mesh.peer_links import (
-    LinkDownError,
-    LinkLostError,
     PeerLink,
 )
-from jasmineramp.mesh.peer_messages import Ended, Run
 from jasmineramp.mesh.platform_binding import Dialect
 from jasmineramp.mesh.responses import Responder
 from jasmineramp.mesh.retry_budget import RetryBudget
@@ -55,14 +52,11 @@
 
 # The patience of a caller that names none.
 USUAL_PATIENCE_MS = 30_000.0
-# Time for the answer that the upstream gives at its own deadline.
-ANSWER_MARGIN_MS = 80
 LEAST_SEND_MS = 8
 # Refusals by one instance after which the call is refused altogether.
 LARGEST_REDIRECTS = 2
 RETRY_AFTER_MS = 400.0
 SERVER_ERROR = 500
-MILLIS_PER_SECOND = 1000
 
 _encoder = msgspec.json.Encoder()
 
@@ -288,6 +282,7 @@
             final = self._judge(admitted, instance.node, end)
             if final is not None:
                 return final
+            self._log_repeat(admitted, instance.node, end)
 
     def _judge(
         self, admitted: AdmittedCall, node: NodeId, end: CallEnd
@@ -312,6 +307,24 @@
             return admitted.kept
         return None
 
+    def _log_repeat(
+        self, admitted: AdmittedCall, node: NodeId, end: CallEnd
+    ) -> None:
+        if isinstance(end, Answer):
+            cause, detail = f'status {end.status}', ''
+        else:
+            cause, detail = end.code.value, end.detail
+        self.log.write(
+            'sent_again',
+            request=admitted.upstream_call.request_id,
+            after=node,
+            cause=cause,
+            detail=detail,
+            sends=admitted.attempts,
+            redirects=admitted.redirects,
+            credit=self.budget.credit.get(admitted.service),
+        )
+
     def _may_repeat(self, admitted: AdmittedCall) -> bool:
         return (
             admitted.upstream_call.repeatable
@@ -344,39 +357,13 @@
                 end = await self.gate.run(call)
                 observation.load = self.gate.load()
             else:
-                end, load = await self._send_to_peer(
-                    instance.node, call, left_ms
+                end, load = await run_at_peer(
+                    self.links.get(instance.node), call, left_ms
                 )
                 observation.load = load
             observation.outcome = _outcome_of(end)
         return end
 
-    async def _send_to_peer(
-        self, node: NodeId, call: UpstreamCall, left_ms: float
-    ) -> tuple[CallEnd, LoadReport | None]:
-        link = self.links.get(node)
-        if link is None or not await link.ready():
-            return not_run(RefusalCode.upstream_lost, 'node unreachable'), None
-        try:
-            stream, future = link.ask(lambda number: Run(number, call))
-        except LinkDownError:
-            return not_run(RefusalCode.upstream_lost, 'node unreachable'), None
-        wait_s = (left_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
-        try:
-            async with asyncio.timeout(wait_s):
-                frame = await future
-        except TimeoutError:
-            link.cancel(stream)
-            return unknown(RefusalCode.deadline_exceeded, 'no answer'), None
-        except LinkLostError:
-            return unknown(RefusalCode.upstream_lost, 'node lost'), None
-        except asyncio.CancelledError:
-            link.cancel(stream)
-            raise
-        if not isinstance(frame, Ended):
-            return unknown(RefusalCode.internal_error, 'wrong frame'), None
-        return frame.end, frame.load
-
     def _overloaded(self, admitted: AdmittedCall) -> Failure:
         return Failure(
             RefusalCode.overloaded,
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -21,6 +21,7 @@
     not_run,
     unknown,
 )
+from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.slot_limit import SlotLimiter
 from jasmineramp.mesh.upstream_http import (
@@ -54,6 +55,7 @@
         write_call: CallWriter,
         *,
         metrics: NodeMetrics,
+        log: DecisionLog,
         clock: Clock,
     ) -> None:
         self.record = record
@@ -61,6 +63,7 @@
         self.write_call = write_call
         self.on_lost: Callable[[], None] = _ignore_loss
         self.metrics = metrics
+        self.log = log
         self.clock = clock
         self.admission = AdmissionState(SlotLimiter(1))
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
@@ -117,6 +120,7 @@
         decisions = admission.offer(self.admission, queued, now)
         refused = await self._wait_for_start(call_id, decisions)
         if refused is not None:
+            self._log_refusal(call, refused, self.clock.now() - now)
             return refused
         with contextlib.ExitStack() as stack:
             stack.callback(self._finish, call_id, CallOutcome.cancelled)
@@ -125,8 +129,37 @@
             stack.pop_all()
         self.metrics.upstream_time.record(self.clock.now() - started)
         self._finish(call_id, _outcome_of(end))
+        if isinstance(end, Failure):
+            self._log_failure(call, end, self.clock.now() - started)
         return end
 
+    def _log_refusal(
+        self, call: UpstreamCall, failure: Failure, waited_ms: float
+    ) -> None:
+        self.log.write(
+            'gate_refused',
+            request=call.request_id,
+            code=failure.code.value,
+            importance=call.importance,
+            waited_ms=round(waited_ms, 1),
+            running=len(self.admission.running),
+            limit=self.admission.limiter.limit,
+            queued=len(self.admission.queue.entries),
+        )
+
+    def _log_failure(
+        self, call: UpstreamCall, failure: Failure, took_ms: float
+    ) -> None:
+        self.log.write(
+            'upstream_failed',
+            request=call.request_id,
+            instance=call.instance,
+            code=failure.code.value,
+            run=failure.run.value,
+            detail=failure.detail,
+            took_ms=round(took_ms, 1),
+        )
+
     def _finish(self, call_id: CallId, outcome: CallOutcome) -> None:
         self._apply(
             admission.finish(self.admission, call_id, outcome, self.clock.now())
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
+import msgspec
+
 from jasmineramp import routing
 from jasmineramp.clock import Clock, Millis
 from jasmineramp.membership_messages import UpstreamState
@@ -93,6 +95,7 @@
             UpstreamPool(*settings.upstream, platform.read_response),
             platform.write_call,
             metrics=self.metrics,
+            log=log,
             clock=clock,
         )
         self.own = OwnUpstream(
@@ -173,6 +176,20 @@
             domain=self.settings.domain,
         )
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Adopt the bounds and the service of new settings.
+
+        Addresses are those of the process and stay.
+        """
+        bounds = settings.bounds
+        self.settings = msgspec.structs.replace(
+            self.settings, bounds=bounds, service=settings.service
+        )
+        self.freshness.apply_ms = bounds.apply_ms
+        self.freshness.revoke_ms = bounds.revoke_ms
+        self.entry.service = settings.service
+        self.log.write('settings_reloaded', service=settings.service)
+
     async def stop(self) -> None:
         """Finish what has been started, then close everything."""
         if self.stopping_since is not None:
--- a/src/jasmineramp/platform/__main__.py
+++ b/src/jasmineramp/platform/__main__.py
@@ -18,6 +18,8 @@
 from jasmineramp.platform.settings import PATH_VARIABLE, load_settings
 from jasmineramp.platform.store_client import StoreClient
 
+# New settings may come without a signal; reading takes a fraction of a ms.
+SETTINGS_INTERVAL_S = 5
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
@@ -30,34 +32,53 @@
         return Millis(nanoseconds / _NANOSECONDS_PER_MILLISECOND)
 
 
+class _SettingsFile:
+    """Notice new settings, with or without a signal."""
+
+    def __init__(self, path: pathlib.Path, node: Node) -> None:
+        self.path = path
+        self.node = node
+        self.settings = node.settings
+
+    def reload(self) -> None:
+        """Adopt the settings in the file; keep the present ones if wrong."""
+        try:
+            settings = load_settings(self.path)
+        except SettingsError as error:
+            self.node.log.write('settings_rejected', error=str(error))
+            return
+        if settings != self.settings:
+            self.settings = settings
+            self.node.reload(settings)
+
+    async def watch(self) -> None:
+        """Read the file again and again until cancelled."""
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            self.reload()
+
+
 async def _serve(settings: NodeSettings, path: pathlib.Path) -> None:
     loop = asyncio.get_running_loop()
-    log = DecisionLog(settings.node)
     node = Node(
         settings,
         StoreClient(*settings.store),
         PlatformBinding(),
-        log,
+        DecisionLog(settings.node),
         BootClock(),
     )
+    settings_file = _SettingsFile(path, node)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, log)
+    loop.add_signal_handler(signal.SIGHUP, settings_file.reload)
     await node.start()
+    watching = loop.create_task(settings_file.watch())
     await stop.wait()
+    watching.cancel()
     await node.stop()
 
 
-def _reload(path: pathlib.Path, log: DecisionLog) -> None:
-    try:
-        load_settings(path)
-    except SettingsError as error:
-        log.write('settings_rejected', error=str(error))
-        return
-    log.write('settings_reloaded')
-
-
 def main() -> int:
     """Run until SIGTERM; return 2 for settings that can't be used."""
     path = pathlib.Path(os.environ.get(PATH_VARIABLE, ''))
