Restore the own upstream after a restart and reconnect at once

Ticks and log writes are fewer, the collector runs less often. A soak of the real programs with faults from outside.

--- a/src/jasmineramp/mesh/directory.py
+++ b/src/jasmineramp/mesh/directory.py
@@ -102,12 +102,8 @@
         return self.members.pop(node, None)
 
     def _put(self, item: StoreItem) -> MemberEntry | None:
-        try:
-            entry = _decoder.decode(item.value or b'')
-        except msgspec.MsgspecError:
-            self.unreadable.add(item.key)
-            return None
-        if entry.node != _node_of(item.key):
+        entry = read_entry(item)
+        if entry is None:
             self.unreadable.add(item.key)
             return None
         self.absent.pop(entry.node, None)
@@ -119,6 +115,15 @@
         return entry
 
 
+def read_entry(item: StoreItem) -> MemberEntry | None:
+    """Return the entry in an item, None if another writer wrote it."""
+    try:
+        entry = _decoder.decode(item.value or b'')
+    except msgspec.MsgspecError:
+        return None
+    return entry if entry.node == _node_of(item.key) else None
+
+
 def key_of(node: NodeId) -> str:
     """Return the key of a node's entry."""
     return f'{PREFIX}{node}'
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -1,5 +1,6 @@
 """Follow a call through its entry node, from the caller to an answer."""
 
+import asyncio
 from typing import Protocol
 
 import msgspec
@@ -56,6 +57,8 @@
 # Refusals by one instance after which the call is refused altogether.
 LARGEST_REDIRECTS = 2
 RETRY_AFTER_MS = 400.0
+REACH_WAIT_MS = 200
+REACH_INTERVAL_S = 0.05
 SERVER_ERROR = 500
 
 _encoder = msgspec.json.Encoder()
@@ -266,12 +269,7 @@
                 self.routes, admitted.service, importance, now
             ):
                 return admitted.kept or self._overloaded(admitted)
-            instance = routing.choose(
-                self.routes,
-                admitted.service,
-                admitted.excluded | self.unreachable,
-                now,
-            )
+            instance = await self._choose(admitted)
             if instance is None:
                 return admitted.kept or not_run(
                     RefusalCode.no_upstream,
@@ -284,6 +282,22 @@
                 return final
             self._log_repeat(admitted, instance.node, end)
 
+    async def _choose(self, admitted: AdmittedCall) -> Instance | None:
+        """Choose an instance; wait a little while none is reachable."""
+        until = later(self.clock.now(), REACH_WAIT_MS)
+        while True:
+            now = self.clock.now()
+            instance = routing.choose(
+                self.routes,
+                admitted.service,
+                admitted.excluded | self.unreachable,
+                now,
+            )
+            if instance is not None or admitted.excluded or now > until:
+                return instance
+            # Nodes that were restarted together are back within moments.
+            await asyncio.sleep(REACH_INTERVAL_S)
+
     def _judge(
         self, admitted: AdmittedCall, node: NodeId, end: CallEnd
     ) -> CallEnd | None:
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -39,16 +39,15 @@
         self.directory = Directory()
 
     def check_links(self) -> None:
-        """Ping silent peers."""
+        """Ping silent peers and try suspects again."""
         now = asyncio.get_running_loop().time()
         for link in self.links.values():
             link.check(now)
-
-    def expire(self) -> None:
-        """Try suspects again and forget the nodes that are gone."""
-        for link in self.links.values():
             if link.is_suspect():
                 link.ensure()
+
+    def expire(self) -> None:
+        """Forget the nodes that are gone."""
         gone = self.directory.expire(self.clock.now())
         for member in gone:
             routing.remove_instance(self.routes, member.node)
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -50,8 +50,9 @@
 from jasmineramp.mesh.upstream_state import UpstreamRecord
 from jasmineramp.refusals import RefusalCode
 
-TICK_S = 0.05
-SLOW_TICKS = 10
+TICK_S = 0.1
+FLUSH_TICKS = 2
+SLOW_TICKS = 5
 STEP_S = 0.05
 # Callers notice within two failed readiness checks, one a second.
 CALLERS_LEAVE_MS = 2_400
@@ -324,7 +325,8 @@
         self.gate.expire()
         self.fleet.check_links()
         self.ticks += 1
-        self.log.flush()
+        if self.ticks % FLUSH_TICKS == 0:
+            self.log.flush()
         if self.ticks % SLOW_TICKS:
             return
         self.gate.pool.expire()
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -19,6 +19,10 @@
 from jasmineramp.mesh.upstream_state import Announcement, Leaving
 from jasmineramp.routing import RoutingState
 
+# An acknowledgement must come within a second.
+STORE_WAIT_MS = 800
+BEFORE_FIRST_SEQUENCE = -1
+
 
 class OwnUpstream:
     """Follow the upstream of this VM and register it."""
@@ -43,6 +47,7 @@
         self.clock = clock
         self.sessions: set[PeerSession] = set()
         self.registration = Registration(store, self._own_entry, log, clock)
+        self.registration.on_restored = self._restore
         gate.on_lost = self._on_lost
 
     async def take_announcement(self, request: CallerRequest) -> CallerResponse:
@@ -66,6 +71,11 @@
                 state=self.record.state.name,
             )
             self._publish_state()
+        if self.record.state is UpstreamState.draining:
+            # The next process of this node must not use the upstream either.
+            stored = await self.registration.wait_until_stored(STORE_WAIT_MS)
+            if not stored:
+                return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, [])
         return self.platform.write_acknowledgement()
 
     def tell_peers(self, state: UpstreamState) -> None:
@@ -110,6 +120,29 @@
             return False
         return self.record.announce(said, now)
 
+    def _restore(self, entry: MemberEntry | None) -> None:
+        known: Announcement | None = None
+        if entry is not None and entry.instance:
+            host, port = self.settings.upstream
+            known = Announcement(
+                entry.instance,
+                entry.born,
+                f'{host}:{port}',
+                entry.service,
+                entry.domain,
+                entry.slots,
+                entry.state,
+                BEFORE_FIRST_SEQUENCE,
+                0,
+            )
+        self.record.restore(known, self.clock.now())
+        self.log.write(
+            'upstream_restored',
+            instance=self._instance_name(),
+            state=self.record.state.name,
+        )
+        self._publish_state()
+
     def _own_entry(self, version: int) -> MemberEntry:
         current = self.record.current
         host, port = self.settings.inbound
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -15,6 +15,7 @@
     MemberEntry,
     key_of,
     max_revision,
+    read_entry,
 )
 from jasmineramp.mesh.store import Store, StoreOutcome, StoreReply
 
@@ -50,14 +51,25 @@
         self.revision = Revision(0)
         self.lease = 0
         self.valid_until = Millis(float('-inf'))
+        self.is_restored = False
+        self.on_restored: Callable[[MemberEntry | None], None] = _ignore_entry
+        self.stored = asyncio.Event()
         self.changed = asyncio.Event()
         self.is_closed = False
 
     def touch(self) -> None:
         """Note that the entry has changed."""
         self.version += 1
+        self.stored.clear()
         self.changed.set()
 
+    async def wait_until_stored(self, limit_ms: float) -> bool:
+        """Return whether the present entry is at the store within a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / MILLIS_PER_SECOND):
+                await self.stored.wait()
+        return self.stored.is_set()
+
     def is_valid(self, now: Millis) -> bool:
         """Tell whether the entry is certain to be at the store."""
         return now < self.valid_until
@@ -79,6 +91,8 @@
     async def _step(self) -> float:
         sent = self.clock.now()
         self.changed.clear()
+        if not self.is_restored and not await self._restore():
+            return RETRY_MS
         if not self.lease:
             reply = await self.store.grant_lease(TTL_MS)
             if reply.outcome is not StoreOutcome.done:
@@ -106,7 +120,7 @@
         )
         if reply.outcome is StoreOutcome.done:
             self.revision = reply.revision
-            self.written = version
+            self._note_written(version)
             self.log.write(
                 'registered', version=version, state=entry.state.name
             )
@@ -130,15 +144,40 @@
             item = reply.items[0]
             self.revision = item.revision
             if item.value == _encoder.encode(entry):
-                self.written = entry.version
+                self._note_written(entry.version)
+
+    async def _restore(self) -> bool:
+        """Read what an earlier process of this node knew."""
+        node = self.entry_of(0).node
+        reply = await self.store.get(key_of(node))
+        if reply.outcome is StoreOutcome.missing:
+            self.is_restored = True
+            self.on_restored(None)
+        elif reply.outcome is StoreOutcome.done:
+            self.is_restored = True
+            self.revision = reply.items[0].revision
+            entry = read_entry(reply.items[0])
+            self.version = 0 if entry is None else entry.version + 1
+            self.on_restored(entry)
+        return self.is_restored
+
+    def _note_written(self, version: int) -> None:
+        self.written = version
+        if version == self.version:
+            self.stored.set()
 
     def _lose_lease(self, reason: str) -> None:
         self.lease = 0
         self.written = -1
+        self.stored.clear()
         self.revision = Revision(0)
         self.log.write('lease_lost', reason=reason)
 
 
+def _ignore_entry(_entry: MemberEntry | None) -> None:
+    """Ignore what an earlier process has registered."""
+
+
 class DirectoryWatch:
     """Follow the entries of all nodes at the store."""
 
--- a/src/jasmineramp/mesh/upstream_state.py
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -10,6 +10,8 @@
 LEFT_MEMORY_MS = 60_000
 # Two announcements in a row that did not come.
 SILENCE_MS = 3_500
+# Less than the interval between two announcements.
+CONFIRMATION_MS = 1_000
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -46,6 +48,7 @@
         self.heard = Millis(0)
         self.left: dict[str, tuple[int, Millis]] = {}
         self.challenger: Announcement | None = None
+        self.is_restored = False
 
     def announce(self, announcement: Announcement, now: Millis) -> bool:
         """Take an announcement; return whether state or instance changed.
@@ -53,6 +56,8 @@
         Announcements may come late: of an instance that has left, of an
         earlier incarnation, or out of order.
         """
+        if not self.is_restored and not self._is_confirmed(announcement, now):
+            return False
         left = self.left.get(announcement.instance)
         if left is not None and announcement.born <= left[0]:
             return False
@@ -73,6 +78,34 @@
             or was_slots != announcement.slots
         )
 
+    def restore(self, known: Announcement | None, now: Millis) -> None:
+        """Take over what an earlier process of the node has registered.
+
+        A leave is stored before it is acknowledged, so an instance that is
+        stored as ready has not been told that it may leave.
+        """
+        self.is_restored = True
+        if known is not None and self.current is None:
+            self.current = known
+            self.state = known.state
+        early = self.challenger
+        self.challenger = None
+        if early is not None:
+            self.announce(early, now)
+
+    def _is_confirmed(self, announcement: Announcement, now: Millis) -> bool:
+        # Without the store, one announcement may be a late one of an
+        # instance that has left; the second of a series is not.
+        challenger = self.challenger
+        if challenger is None or not _is_same(announcement, challenger):
+            self.challenger = announcement
+            self.heard = now
+            return False
+        return (
+            announcement.sequence > challenger.sequence
+            and now - self.heard >= CONFIRMATION_MS
+        )
+
     def _accepts(self, announcement: Announcement, now: Millis) -> bool:
         current = self.current
         if current is None or _supersedes(announcement, current):
--- a/src/jasmineramp/platform/__main__.py
+++ b/src/jasmineramp/platform/__main__.py
@@ -1,6 +1,7 @@
 """Run a node on the users' platform."""
 
 import asyncio
+import gc
 import os
 import pathlib
 import signal
@@ -20,6 +21,8 @@
 
 # New settings may come without a signal; reading takes a fraction of a ms.
 SETTINGS_INTERVAL_S = 5
+# Allocations between two collections; the default of 700 takes more time.
+GC_THRESHOLD = 20_000
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
@@ -72,6 +75,10 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, settings_file.reload)
+    # What the start has made stays; calls leave few cycles.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     await node.start()
     watching = loop.create_task(settings_file.watch())
     await stop.wait()
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -4,6 +4,8 @@
 import copy
 import unittest
 
+from bench.metadata_store import Fault
+
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from tests.fakes.mesh import CONFIGURATION, KEY, Fleet, request
@@ -147,6 +149,14 @@
             self.assertEqual(status, 200)
         self.assertFalse(self.fleet.upstreams[0].ran)
 
+    async def test_leave_is_acknowledged_once_it_is_stored(self) -> None:
+        self.fleet.store.fault = Fault.busy
+        self.assertEqual(await self.fleet.announce(0, 'draining'), 503)
+        self.assertFalse(self.fleet.nodes[0].record.is_ready())
+        self.fleet.store.fault = Fault.none
+        await self.fleet.until(self.fleet.nodes[0].registration.stored.is_set)
+        self.assertEqual(await self.fleet.announce(0, 'draining'), 200)
+
     async def test_unreadable_announcement_changes_nothing(self) -> None:
         for fields in (
             {'info': {'service': 'orders'}},
--- a/tests/mesh/test_upstream_state.py
+++ b/tests/mesh/test_upstream_state.py
@@ -5,7 +5,12 @@
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, ServiceName
 from jasmineramp.membership_messages import UpstreamState
-from jasmineramp.mesh.upstream_state import Announcement, UpstreamRecord
+from jasmineramp.mesh.upstream_state import (
+    CONFIRMATION_MS,
+    SILENCE_MS,
+    Announcement,
+    UpstreamRecord,
+)
 
 NOW = Millis(1000)
 
@@ -35,6 +40,7 @@
 
     def setUp(self) -> None:
         self.record = UpstreamRecord()
+        self.record.restore(None, NOW)
 
     def test_first_announcement_makes_it_ready(self) -> None:
         self.assertTrue(self.record.announce(say(), NOW))
@@ -80,3 +86,38 @@
         self.assertFalse(self.record.is_ready())
         self.assertTrue(self.record.announce(say(sequence=2), NOW))
         self.assertTrue(self.record.is_ready())
+
+    def test_early_birth_by_a_clock_that_was_set_back(self) -> None:
+        self.record.announce(say('i-1', born=200), NOW)
+        later = Millis(NOW + 2 * SILENCE_MS)
+        self.assertFalse(
+            self.record.announce(say('i-2', born=100, sequence=1), NOW)
+        )
+        self.assertTrue(
+            self.record.announce(say('i-2', born=100, sequence=2), later)
+        )
+
+    def test_restored_leave_is_not_undone_by_a_late_announcement(self) -> None:
+        record = UpstreamRecord()
+        record.restore(say(sequence=-1, state=UpstreamState.draining), NOW)
+        record.announce(say(sequence=3), NOW)
+        self.assertFalse(record.is_ready())
+
+    def test_restored_instance_is_used_at_once(self) -> None:
+        record = UpstreamRecord()
+        record.restore(say(sequence=-1), NOW)
+        self.assertTrue(record.is_ready())
+
+    def test_without_the_store_one_announcement_is_not_enough(self) -> None:
+        record = UpstreamRecord()
+        self.assertFalse(record.announce(say(sequence=1), NOW))
+        self.assertFalse(record.announce(say(sequence=1), NOW))
+        later = Millis(NOW + CONFIRMATION_MS)
+        self.assertTrue(record.announce(say(sequence=2), later))
+        self.assertTrue(record.is_ready())
+
+    def test_announcement_that_came_before_the_store_answered(self) -> None:
+        record = UpstreamRecord()
+        record.announce(say(sequence=1), NOW)
+        record.restore(None, NOW)
+        self.assertTrue(record.is_ready())
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs as processes and inject faults from outside."""
