Read the store from one node of each failure domain

Change: rendezvous hashing picks a leader of each domain; the others ask it every 0.4 s for newer entries and a newer table with the age of its proof. A node whose leader is silent or out of contact reads by itself. The directory watch has a module of its own.

Conclusion: store calls grow with the domains, not with the nodes.

--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -19,6 +19,7 @@
     unknown,
 )
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.directory_watch import DirectoryWatch
 from jasmineramp.mesh.entry import Entry
 from jasmineramp.mesh.fleet_view import FleetView
 from jasmineramp.mesh.freshness import Freshness
@@ -31,13 +32,15 @@
 from jasmineramp.mesh.own_upstream import OwnUpstream
 from jasmineramp.mesh.peer_links import PeerSession
 from jasmineramp.mesh.peer_messages import (
+    AskNews,
     Ended,
+    News,
     Run,
     TakeQuota,
 )
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.quota_taker import FleetQuotas
-from jasmineramp.mesh.registration import DirectoryWatch
+from jasmineramp.mesh.relay import Relay
 from jasmineramp.mesh.retry_budget import RetryBudget
 from jasmineramp.mesh.route_table import (
     CallerLimits,
@@ -139,6 +142,17 @@
             log=log,
             clock=clock,
         )
+        self.relay = Relay(
+            settings.node,
+            settings.domain,
+            self.fleet.directory,
+            table_watch=self.table_watch,
+            directory_watch=self.watch,
+            links=self.entry.links,
+            clock=clock,
+        )
+        self.table_watch.ask_leader = self.relay.ask
+        self.watch.is_fed = self.relay.is_fed
         self.callers = CallerServer(self.entry.handle, self._limits)
         self.announcements = CallerServer(
             self.own.take_announcement, self._limits
@@ -235,6 +249,10 @@
             return None
         return self.quotas.take_as_owner(workspace.row)
 
+    def tell_peer(self, frame: AskNews) -> News:
+        """Return what is newer than what a peer knows."""
+        return self.relay.answer(frame)
+
     async def _run_for_peer(self, session: PeerSession, frame: Run) -> None:
         end: CallEnd
         try:
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -10,10 +10,12 @@
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
+    AskNews,
     Cancel,
     Ended,
     FrameBuffer,
     Hello,
+    News,
     PeerFrame,
     Ping,
     Pong,
@@ -53,6 +55,9 @@
     def take_for_peer(self, frame: TakeQuota) -> float | None:
         """Return 0, a wait in ms, or None if this node is no owner."""
 
+    def tell_peer(self, frame: AskNews) -> News:
+        """Return what is newer than what a peer knows."""
+
 
 class _FrameProtocol(asyncio.Protocol):
     """Read and write frames on one connection."""
@@ -117,6 +122,8 @@
             case TakeQuota():
                 wait_ms = self.serving.take_for_peer(frame)
                 self.write(QuotaTaken(frame.stream, wait_ms))
+            case AskNews():
+                self.write(self.serving.tell_peer(frame))
             case Ping():
                 self.write(Pong())
 
@@ -136,7 +143,7 @@
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         match frame:
-            case Ended() | QuotaTaken():
+            case Ended() | QuotaTaken() | News():
                 self.link.reply(frame.stream, frame)
             case StateChanged():
                 self.link.on_state(frame)
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -2,10 +2,11 @@
 
 import msgspec
 
-from jasmineramp.ids import NodeId, WorkspaceId
+from jasmineramp.ids import NodeId, Revision, WorkspaceId
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
+from jasmineramp.mesh.store import StoreItem
 
 PROTOCOL_VERSION = 1
 LENGTH_BYTES = 4
@@ -75,6 +76,30 @@
     state: UpstreamState
 
 
+class AskNews(Frame, tag=10):
+    """Ask the leader of the domain for a newer table and directory."""
+
+    stream: int
+    table_revision: Revision
+    directory_revision: Revision
+
+
+class News(Frame, tag=11):
+    """Answer with what is newer; the table is empty if it is not.
+
+    The age is the time in ms since the table was known to be the newest.
+    Items are changes since the asked revision, or all if it is full.
+    """
+
+    stream: int
+    table_revision: Revision
+    table_age_ms: float
+    table: bytes
+    directory_revision: Revision
+    items: tuple[StoreItem, ...]
+    is_full: bool
+
+
 PeerFrame = (
     Hello
     | Run
@@ -85,6 +110,8 @@
     | TakeQuota
     | QuotaTaken
     | StateChanged
+    | AskNews
+    | News
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/jasmineramp/mesh/quotas.py
+++ b/src/jasmineramp/mesh/quotas.py
@@ -81,11 +81,11 @@
 
 
 class Owners:
-    """Find the node that owns the bucket of a workspace."""
+    """Find the node that owns what has a name, such as a bucket."""
 
     def __init__(self) -> None:
         self.nodes: tuple[NodeId, ...] = ()
-        self.found: dict[WorkspaceId, NodeId] = {}
+        self.found: dict[str, NodeId] = {}
 
     def set_nodes(self, nodes: Iterable[NodeId]) -> None:
         """Adopt the registered nodes."""
@@ -94,15 +94,15 @@
             self.nodes = ordered
             self.found.clear()
 
-    def find(self, workspace: WorkspaceId) -> NodeId | None:
+    def find(self, name: str) -> NodeId | None:
         """Return the owner, None when no node is registered."""
-        owner = self.found.get(workspace)
+        owner = self.found.get(name)
         if owner is None and self.nodes:
-            owner = max(self.nodes, key=lambda node: _weight(node, workspace))
-            self.found[workspace] = owner
+            owner = max(self.nodes, key=lambda node: _weight(node, name))
+            self.found[name] = owner
         return owner
 
 
-def _weight(node: NodeId, workspace: WorkspaceId) -> bytes:
-    text = f'{node}/{workspace}'.encode()
+def _weight(node: NodeId, name: str) -> bytes:
+    text = f'{node}/{name}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -10,23 +10,16 @@
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory import (
-    PREFIX,
-    Directory,
     MemberEntry,
     key_of,
     max_revision,
     read_entry,
 )
-from jasmineramp.mesh.store import Store, StoreOutcome, StoreReply
+from jasmineramp.mesh.store import Store, StoreOutcome
 
 TTL_MS = 8_000
 KEEP_EVERY_MS = 2_000
 RETRY_MS = 300
-WATCH_MS = 20_000
-# Changes that follow one another closely are read with one call.
-COALESCE_MS = 200
-# A watch may miss changes when the store loses its history.
-RELIST_MS = 10_000
 MILLIS_PER_SECOND = 1000
 
 _encoder = msgspec.json.Encoder()
@@ -176,64 +169,3 @@
 
 def _ignore_entry(_entry: MemberEntry | None) -> None:
     """Ignore what an earlier process has registered."""
-
-
-class DirectoryWatch:
-    """Follow the entries of all nodes at the store."""
-
-    def __init__(
-        self,
-        store: Store,
-        directory: Directory,
-        on_change: Callable[[list[MemberEntry]], None],
-        log: DecisionLog,
-        clock: Clock,
-    ) -> None:
-        self.store = store
-        self.directory = directory
-        self.on_change = on_change
-        self.log = log
-        self.clock = clock
-        self.revision = Revision(0)
-        self.listed = Millis(float('-inf'))
-        self.is_listed = False
-
-    async def run(self) -> None:
-        """Follow the entries until cancelled."""
-        while True:
-            now = self.clock.now()
-            if not self.is_listed or now - self.listed > RELIST_MS:
-                await self._list(stale=self.is_listed)
-                continue
-            reply = await self.store.watch(PREFIX, self.revision, WATCH_MS / 2)
-            if reply.outcome is StoreOutcome.done:
-                self._take(reply)
-                pause_ms = COALESCE_MS if reply.items else 0
-            else:
-                # What the watch missed is read anew.
-                self.is_listed = False
-                self.log.write(
-                    'watch_ended',
-                    outcome=reply.outcome.value,
-                    detail=reply.detail,
-                )
-                pause_ms = RETRY_MS
-            await asyncio.sleep(pause_ms / MILLIS_PER_SECOND)
-
-    async def _list(self, *, stale: bool) -> None:
-        reply = await self.store.list_items(PREFIX, stale=stale)
-        if reply.outcome is not StoreOutcome.done:
-            await asyncio.sleep(RETRY_MS / MILLIS_PER_SECOND)
-            return
-        self.listed = self.clock.now()
-        if stale and reply.revision < self.revision:
-            # Older than what the watch has shown.
-            return
-        self.revision = max(self.revision, reply.revision)
-        self.is_listed = True
-        self.on_change(self.directory.replace_all(reply.items, self.listed))
-
-    def _take(self, reply: StoreReply) -> None:
-        self.revision = max(self.revision, reply.revision)
-        if reply.items:
-            self.on_change(self.directory.apply(reply.items, self.clock.now()))
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -1,9 +1,9 @@
 """Keep the table of this node the newest one at the store."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from jasmineramp.clock import Clock
+from jasmineramp.clock import Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.freshness import Freshness
@@ -11,13 +11,20 @@
 from jasmineramp.mesh.store import Store, StoreOutcome
 
 # A new table is in force after one interval and the read itself.
-INTERVAL_PART = 0.45
+INTERVAL_PART = 0.35
+# Nodes that ask the leader of their domain are that much later.
+ASK_INTERVAL_MS = 400
 RETRY_MS = 250
 MILLIS_PER_SECOND = 1000
 
 TableDecoder = Callable[[bytes, Revision], RouteTable]
 
 
+async def _have_no_leader() -> bool:
+    """Return that there is nobody to ask."""
+    return False
+
+
 class TableWatch:
     """Read the table again and again, linearizably.
 
@@ -44,12 +51,17 @@
         self.log = log
         self.clock = clock
         self.revision = Revision(0)
+        self.content = b''
+        self.ask_leader: Callable[[], Awaitable[bool]] = _have_no_leader
         self.is_reached = False
 
     async def run(self) -> None:
         """Read the table until cancelled."""
         while True:
             started = self.clock.now()
+            if await self.ask_leader():
+                await asyncio.sleep(ASK_INTERVAL_MS / MILLIS_PER_SECOND)
+                continue
             reached = await self.read()
             interval = self.freshness.apply_ms * INTERVAL_PART
             wait = (
@@ -74,20 +86,34 @@
         if reply.outcome is not StoreOutcome.done:
             return reached
         item = reply.items[0]
-        if item.revision <= self.revision:
-            self.freshness.prove(sent)
-            return True
+        self.adopt(item.revision, item.value or b'', sent)
+        return True
+
+    def adopt(self, revision: Revision, content: bytes, proved: Millis) -> bool:
+        """Take over a table that was the newest at a time.
+
+        Return whether the table of this node is that one. The content may be
+        left out if the node has the table.
+        """
+        if revision > self.revision and not self._take(revision, content):
+            return False
+        if revision < self.revision:
+            return False
+        self.freshness.prove(proved)
+        return True
+
+    def _take(self, revision: Revision, content: bytes) -> bool:
         try:
-            table = self.decode(item.value or b'', item.revision)
+            table = self.decode(content, revision)
         except ValueError as error:
             self.log.write(
-                'table_unreadable', revision=item.revision, error=str(error)
+                'table_unreadable', revision=revision, error=str(error)
             )
-            return True
-        self.revision = item.revision
+            return False
+        self.revision = revision
+        self.content = content
         self.on_table(table)
-        self.freshness.prove(sent)
         self.log.write(
-            'table_in_force', revision=item.revision, version=table.version
+            'table_in_force', revision=revision, version=table.version
         )
         return True
--- /dev/null
+++ b/tests/mesh/test_relay.py
@@ -0,0 +1,90 @@
+"""Guard against a table that is proved by a node without contact."""
+
+import copy
+import unittest
+
+from bench.metadata_store import Fault
+
+from jasmineramp.mesh.node import Node
+from jasmineramp.mesh.relay import LARGEST_AGE_MS
+from tests.fakes.mesh import CONFIGURATION, Fleet
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """Three nodes of one domain, one of which reads for all."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(3)
+        await self.fleet.until(
+            lambda: sum(node.relay.is_fed() for node in self.fleet.nodes) == 2
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+
+    def split(self) -> tuple[Node, list[Node]]:
+        """Return the leader and the others."""
+        leaders = [
+            node for node in self.fleet.nodes if node.relay.leader() is None
+        ]
+        self.assertEqual(len(leaders), 1)
+        others = [node for node in self.fleet.nodes if node not in leaders]
+        return leaders[0], others
+
+    async def test_only_the_leader_reads(self) -> None:
+        leader, others = self.split()
+        before = [node.store.counts['get', 'done'] for node in others]
+        reads = leader.store.counts['get', 'done']
+        await self.fleet.until(
+            lambda: leader.store.counts['get', 'done'] > reads + 2
+        )
+        after = [node.store.counts['get', 'done'] for node in others]
+        self.assertEqual(before, after)
+
+    async def test_new_table_reaches_all(self) -> None:
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration['version'] = '00000002'
+        self.fleet.configure(configuration)
+        await self.fleet.until(
+            lambda: all(
+                node.entry.table is not None
+                and node.entry.table.version == '00000002'
+                for node in self.fleet.nodes
+            )
+        )
+
+    async def test_proof_is_never_younger_than_the_leaders(self) -> None:
+        leader, others = self.split()
+        for node in others:
+            self.assertTrue(await node.relay.ask())
+            # All nodes of the test read one clock.
+            self.assertLessEqual(node.freshness.proved, leader.freshness.proved)
+
+    async def test_leader_without_contact_feeds_nobody(self) -> None:
+        leader, others = self.split()
+        leader.freshness.proved = type(leader.freshness.proved)(
+            leader.clock.now() - LARGEST_AGE_MS - 1
+        )
+        self.fleet.store.fault = Fault.busy
+        self.assertFalse(await others[0].relay.ask())
+
+    async def test_others_read_once_the_leader_is_gone(self) -> None:
+        leader, others = self.split()
+        reads = [node.store.counts['get', 'done'] for node in others]
+        leader.close()
+        await self.fleet.until(
+            lambda: all(
+                node.store.counts['get', 'done'] > count
+                for node, count in zip(others, reads, strict=True)
+            )
+        )
+
+    async def test_newcomer_is_known_to_all(self) -> None:
+        await self.fleet.add(3)
+        await self.fleet.until(
+            lambda: all(
+                len(node.fleet.directory.members) == 4
+                for node in self.fleet.nodes
+            )
+        )
