--- a/src/jasmineramp/platform/__main__.py
+++ b/src/jasmineramp/platform/__main__.py
@@ -22,7 +22,7 @@
 # New settings may come without a signal; reading takes a fraction of a ms.
 SETTINGS_INTERVAL_S = 5
 # Allocations between two collections; the default of 700 takes more time.
-GC_THRESHOLD = 20_000
+GC_THRESHOLD = 5_000
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
