Let the upstream of a stopping node serve on at first

Change: the upstream is withdrawn 1.6 s after SIGTERM instead of at once; the process ends no later than before.

--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -59,6 +59,9 @@
 STEP_S = 0.05
 # Callers notice within two failed readiness checks, one a second.
 CALLERS_LEAVE_MS = 2_400
+# The upstream of a node that stops serves on for a while: nodes that are
+# stopped in turn would else take several upstreams of a service out at once.
+UPSTREAM_SERVES_MS = 1_600
 LAST_ADMISSION_MS = 3_200
 # The rest of the grace period is for the end of the process.
 USABLE_GRACE = 0.86
@@ -208,10 +211,7 @@
             return
         self.stopping_since = self.clock.now()
         self.log.write('node_stopping', open=self._open_calls())
-        self.gate.is_stopping = True
-        self.own.tell_peers(UpstreamState.draining)
         self.callers.drain()
-        asyncio.get_running_loop().create_task(self.registration.end())
         await self._wait_for_calls(self.stopping_since)
         self.log.write('node_stopped', open=self._open_calls())
         self.close()
@@ -267,6 +267,8 @@
         latest = self.settings.bounds.grace_ms * USABLE_GRACE
         while True:
             elapsed = self.clock.now() - since
+            if elapsed > UPSTREAM_SERVES_MS and not self.gate.is_stopping:
+                await self._withdraw_upstream()
             if elapsed > LAST_ADMISSION_MS:
                 self.entry.is_refusing = True
             if elapsed > CALLERS_LEAVE_MS:
@@ -276,6 +278,11 @@
                 return
             await asyncio.sleep(STEP_S)
 
+    async def _withdraw_upstream(self) -> None:
+        self.gate.is_stopping = True
+        self.own.tell_peers(UpstreamState.draining)
+        await self.registration.end()
+
     def _open_calls(self) -> int:
         return self.callers.requests + self.gate.running()
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -266,3 +266,18 @@
         status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
         self.assertEqual(status, 200)
         await stop
+
+
+class StoppingNodeTest(unittest.IsolatedAsyncioTestCase):
+    """One node beside the only upstream of its service."""
+
+    async def test_upstream_serves_on_at_first(self) -> None:
+        fleet = Fleet()
+        await fleet.start(1)
+        stop = asyncio.create_task(fleet.nodes[0].stop())
+        await fleet.until(lambda: fleet.nodes[0].stopping_since is not None)
+        status, headers, _ = await fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 200)
+        self.assertEqual(headers['Connection'], 'close')
+        await stop
+        await fleet.close()
