Tell with every 503 when to come back; check the release of peers

Cause: refusals of the node beside an upstream while it stops carried no Retry-After; the version in a peer's first frame was not looked at; entries by other writers were counted and never logged.

Change: the responder adds 400 ms where the refusal names no time; a peer of another release is cut off; unreadable entries are logged. What nothing used is gone from the route table and the configuration.

Measured: unit tests only.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -56,7 +56,6 @@
 LEAST_SEND_MS = 8
 # Refusals by one instance after which the call is refused altogether.
 LARGEST_REDIRECTS = 2
-RETRY_AFTER_MS = 400.0
 REACH_WAIT_MS = 200
 REACH_INTERVAL_S = 0.05
 SERVER_ERROR = 500
@@ -158,11 +157,9 @@
     ) -> AdmittedCall | Failure:
         table = self.table
         if table is None:
-            return not_run(
-                RefusalCode.configuration_missing, 'no table yet', 500
-            )
+            return not_run(RefusalCode.configuration_missing, 'no table yet')
         if self.is_refusing:
-            return not_run(RefusalCode.draining, 'node stops', RETRY_AFTER_MS)
+            return not_run(RefusalCode.draining, 'node stops')
         if not head.request_id:
             return Failure(
                 RefusalCode.request_malformed, RunState.not_run, 'no id'
@@ -187,7 +184,6 @@
             return not_run(
                 RefusalCode.configuration_missing,
                 f'table proved {self.freshness.age(now):.0f} ms ago',
-                RETRY_AFTER_MS,
             )
         workspace = table.find_workspace(head.key) if head.key else None
         if workspace is None:
@@ -218,7 +214,6 @@
             RefusalCode.configuration_missing,
             f'{code.value}, but the table was proved '
             f'{self.freshness.age(now):.0f} ms ago',
-            RETRY_AFTER_MS,
         )
 
     def _plan(
@@ -274,7 +269,6 @@
                 return admitted.kept or not_run(
                     RefusalCode.no_upstream,
                     f'no instance of {admitted.service}',
-                    RETRY_AFTER_MS,
                 )
             end = await self._send(admitted, instance, left_ms)
             final = self._judge(admitted, instance.node, end)
@@ -385,7 +379,6 @@
             row=admitted.route.name,
             column='importance',
             figure=admitted.upstream_call.importance,
-            retry_after_ms=RETRY_AFTER_MS,
         )
 
 
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -69,6 +69,11 @@
         for member in changed:
             self._put_member(member, now)
         self._count_members()
+        if self.directory.unreadable:
+            self.log.write(
+                'members_unreadable', keys=sorted(self.directory.unreadable)
+            )
+            self.directory.unreadable.clear()
 
     def _put_member(self, member: MemberEntry, now: Millis) -> None:
         node = member.node
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -115,6 +115,9 @@
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         match frame:
+            case Hello() if frame.version != PROTOCOL_VERSION:
+                # The peer finds this node unreachable and calls others.
+                self.transport.abort()
             case Run():
                 self.serving.run_for_peer(self, frame)
             case Cancel():
--- a/src/jasmineramp/mesh/responses.py
+++ b/src/jasmineramp/mesh/responses.py
@@ -18,6 +18,9 @@
 from jasmineramp.refusals import STATUS_BY_CODE, RefusalCode, RunState
 
 SERVER_ERROR = 500
+UNAVAILABLE = 503
+# Queues are shorter than this, and nodes that were restarted are back.
+RETRY_AFTER_MS = 400.0
 
 _encoder = msgspec.json.Encoder()
 
@@ -73,6 +76,8 @@
             'node': self.node,
             'version': self.version,
         }
+        if status == UNAVAILABLE and end.retry_after_ms is None:
+            end.retry_after_ms = RETRY_AFTER_MS
         self.log.write(
             'refused' if end.run is RunState.not_run else 'failed',
             request=head.request_id,
--- a/src/jasmineramp/mesh/route_table.py
+++ b/src/jasmineramp/mesh/route_table.py
@@ -1,6 +1,5 @@
 """Hold the operators' table in the form that the nodes look it up."""
 
-import hmac
 import random
 from collections.abc import Mapping
 
@@ -76,7 +75,6 @@
         routes: tuple[RouteRow, ...] = (),
         workspaces: Mapping[WorkspaceId, RankedWorkspace] | None = None,
         keys: tuple[KeyRow, ...] = (),
-        connections: Mapping[ServiceName, int] | None = None,
         limits: CallerLimits | None = None,
     ) -> None:
         self.revision = revision
@@ -84,7 +82,6 @@
         self.routes = routes
         self.workspaces = workspaces or {}
         self.has_workspaces = bool(self.workspaces)
-        self.connections = connections or {}
         self.limits = limits or CallerLimits()
         self.keys = KeyRing(Table(keys=keys))
         self.by_host: dict[str, dict[str, RouteRow]] = {}
@@ -141,13 +138,7 @@
 
 
 def importance_of(route: RouteRow, workspace: RankedWorkspace | None) -> int:
-    """Return the importance of a new request; a workspace's rank goes first."""
-    rank = route.rank
-    if workspace is not None and workspace.rank is not None:
-        rank = min(rank, workspace.rank) if workspace.rank == 0 else rank
+    """Return the importance of a new request; rank 0 of a workspace wins."""
+    is_first = workspace is not None and workspace.rank == 0
+    rank = 0 if is_first else route.rank
     return max(LEAST_IMPORTANCE, _FIRST_IMPORTANCE - rank)
-
-
-def is_same_key(left: str, right: str) -> bool:
-    """Compare two keys in constant time."""
-    return hmac.compare_digest(left.encode(), right.encode())
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -42,10 +42,6 @@
     auth_exempt: bool = False
 
 
-class _WireService(msgspec.Struct, rename='camel'):
-    max_connections: int = 0
-
-
 class _WireLimits(msgspec.Struct, rename='camel'):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 * 1024 * 1024
@@ -64,7 +60,6 @@
 class _WireConfiguration(msgspec.Struct):
     version: str
     routes: dict[str, _WireRoute]
-    services: dict[str, _WireService] = {}
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
     tenants: dict[str, _WireTenant] = {}
 
@@ -89,10 +84,6 @@
         ),
         workspaces=dict(_read_workspaces(wire.tenants)),
         keys=tuple(_read_keys(wire.tenants)),
-        connections={
-            ServiceName(name): service.max_connections
-            for name, service in wire.services.items()
-        },
         limits=limits,
     )
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -6,8 +6,14 @@
 
 from bench.metadata_store import Fault
 
+from jasmineramp.ids import NodeId
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.peer_messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    encode_frame,
+)
 from tests.fakes.mesh import CONFIGURATION, KEY, Fleet, request
 
 SIGNATURE = 'X-Jasmineramp-Response-Signature'
@@ -217,6 +223,39 @@
             took = asyncio.get_running_loop().time() - started
             self.assertLess(took, 0.25)
 
+    async def test_refusal_tells_when_to_come_back(self) -> None:
+        for node in self.fleet.nodes:
+            node.gate.is_stopping = True
+        status, headers, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers['Retry-After']), 0)
+        self.assertEqual(self.runs('id-1'), 0)
+
+    async def test_peer_of_another_release_is_cut_off(self) -> None:
+        reader, writer = await asyncio.open_connection(
+            *self.fleet.nodes[0].settings.inbound
+        )
+        writer.write(encode_frame(Hello(NodeId('n9'), PROTOCOL_VERSION + 1)))
+        self.assertEqual(await self.read_to_end(reader), b'')
+        writer.close()
+
+    async def test_nonsense_from_a_peer_ends_the_connection(self) -> None:
+        for nonsense in (b'\xff' * 8, b'\x00\x00\x00\x01\xc1'):
+            reader, writer = await asyncio.open_connection(
+                *self.fleet.nodes[0].settings.inbound
+            )
+            writer.write(nonsense)
+            self.assertEqual(await self.read_to_end(reader), b'')
+            writer.close()
+
+    async def read_to_end(self, reader: asyncio.StreamReader) -> bytes:
+        """Return what a connection brings until it ends."""
+        try:
+            async with asyncio.timeout(5):
+                return await reader.read()
+        except ConnectionResetError:
+            return b''
+
     async def test_fault_of_a_node_promises_nothing(self) -> None:
         async def break_down(_call: object) -> None:
             raise RuntimeError('fault')
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,69 @@
+"""Guard against a configuration that is misread or half read."""
+
+import copy
+import json
+import unittest
+
+from jasmineramp.ids import Revision
+from jasmineramp.mesh.calls import CallKind
+from jasmineramp.platform.binding import PlatformBinding
+from tests.fakes.mesh import CONFIGURATION, KEY
+
+REVISION = Revision(7)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Routes, tenants and limits become rows of the table."""
+
+    def setUp(self) -> None:
+        self.wire = copy.deepcopy(CONFIGURATION)
+        self.binding = PlatformBinding()
+
+    def decode(self) -> object:
+        """Return the table."""
+        content = json.dumps(self.wire).encode()
+        return self.binding.decode_table(content, REVISION)
+
+    def test_rows(self) -> None:
+        table = self.decode()
+        read = table.find('a.example', '/read/1')  # type: ignore
+        self.assertEqual(read.timeout_ms, 2000)
+        self.assertIs(read.kind, CallKind.idempotent)
+        buy = table.find('a.example', '/buy/1')  # type: ignore
+        self.assertIs(buy.kind, CallKind.once)
+        found = table.find_workspace(KEY)  # type: ignore
+        self.assertEqual(found.row.name, 'shop')
+
+    def test_upload_may_run_once_only(self) -> None:
+        self.wire['routes']['read']['routeType'] = 'upload'  # type: ignore
+        read = self.decode().find('a.example', '/read/1')  # type: ignore
+        self.assertIs(read.kind, CallKind.once)
+
+    def test_weighted_targets(self) -> None:
+        route = self.wire['routes']['read']  # type: ignore
+        del route['service']
+        route['weightedTargets'] = [
+            {'service': 'orders', 'weight': 90},
+            {'service': 'stock', 'weight': 10},
+        ]
+        read = self.decode().find('a.example', '/read/1')  # type: ignore
+        self.assertEqual([each.weight for each in read.targets], [90, 10])
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        self.wire['novel'] = 1
+        self.wire['routes']['read']['novel'] = {}  # type: ignore
+        self.decode()
+
+    def test_unusable_content_is_one_error(self) -> None:
+        for content in (b'', b'\xff', b'[]', b'{"version":"1"}'):
+            with self.assertRaises(ValueError):
+                self.binding.decode_table(content, REVISION)
+        for field, odd in (
+            ('timeout', '2m'),
+            ('service', ''),
+            ('maxAttempts', 'two'),
+        ):
+            wire = copy.deepcopy(CONFIGURATION)
+            wire['routes']['read'][field] = odd  # type: ignore
+            with self.assertRaises(ValueError):
+                self.binding.decode_table(json.dumps(wire).encode(), REVISION)
