Spend fewer Python steps on a call

Locally `perf` finds 68% of the samples in the interpreter; the collector makes no difference (disabled: same).

Half of what is left is the interpreter on the path of a call, the rest reading, writing and waking up.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -1,7 +1,6 @@
 """Serve HTTP/1.1 to callers on the event loop."""
 
 import asyncio
-import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -40,6 +39,19 @@
 Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 
 
+class OpenRequests:
+    """Count the requests that are being handled."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __enter__(self) -> None:
+        self.count += 1
+
+    def __exit__(self, *_: object) -> None:
+        self.count -= 1
+
+
 class CallerServer:
     """Hold the connections of one listening address."""
 
@@ -50,7 +62,7 @@
         self.limits = limits
         self.connections: set[CallerConnection] = set()
         self.closing = False
-        self.requests = 0
+        self.open_requests = OpenRequests()
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -64,10 +76,6 @@
             reuse_address=True,
         )
 
-    def count_end(self) -> None:
-        """Count the end of a request, however it ended."""
-        self.requests -= 1
-
     def drain(self) -> None:
         """End each connection with its next response."""
         self.closing = True
@@ -134,7 +142,6 @@
         """Feed the parser; refuse what it can't read."""
         if self.rejected:
             return
-        limits = self.server.limits()
         if not self.in_body:
             self.header_bytes += len(data)
         try:
@@ -143,10 +150,8 @@
             self._reject(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
-        if self.in_head and self.header_bytes > limits.header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        if self.body_bytes > limits.body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if self.in_head or self.in_body or self.body_bytes:
+            self._check_size(self.server.limits())
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -213,14 +218,18 @@
         if (now - self.since) * MILLIS_PER_SECOND > allowed:
             self.transport.close()
 
+    def _check_size(self, limits: CallerLimits) -> None:
+        if self.in_head and self.header_bytes > limits.header_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if self.body_bytes > limits.body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
     def _start_next(self) -> None:
         request, keep = self.queue.popleft()
-        self.server.requests += 1
         self.task = self.loop.create_task(self._answer(request, keep))
 
     async def _answer(self, request: CallerRequest, keep: bool) -> None:
-        with contextlib.ExitStack() as stack:
-            stack.callback(self.server.count_end)
+        with self.server.open_requests:
             response = await self.server.handler(request)
         self.task = None
         self.since = self.loop.time()
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -1,7 +1,6 @@
 """Admit the calls to the upstream of this VM and send them there."""
 
 import asyncio
-import contextlib
 import itertools
 from collections.abc import Callable
 
@@ -34,6 +33,7 @@
     UpstreamPool,
 )
 from jasmineramp.mesh.upstream_state import UpstreamRecord
+from jasmineramp.mesh.waits import within
 from jasmineramp.refusals import RefusalCode, RunState
 
 # The upstream ends a call itself at the deadline that it was given.
@@ -125,17 +125,22 @@
         if refused is not None:
             self._log_refusal(call, refused, self.clock.now() - now)
             return refused
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._finish, call_id, CallOutcome.cancelled)
-            started = self.clock.now()
+        started = self.clock.now()
+        with _RunningCall(self, call_id) as running:
             end = await self._send(call, deadline)
-            stack.pop_all()
-        self.metrics.upstream_time.record(self.clock.now() - started)
-        self._finish(call_id, _outcome_of(end))
+            running.outcome = _outcome_of(end)
+        took_ms = self.clock.now() - started
+        self.metrics.upstream_time.record(took_ms)
         if isinstance(end, Failure):
-            self._log_failure(call, end, self.clock.now() - started)
+            self._log_failure(call, end, took_ms)
         return end
 
+    def finish(self, call_id: CallId, outcome: CallOutcome) -> None:
+        """End a running call and start queued ones in its place."""
+        self._apply(
+            admission.finish(self.admission, call_id, outcome, self.clock.now())
+        )
+
     def _log_refusal(
         self, call: UpstreamCall, failure: Failure, waited_ms: float
     ) -> None:
@@ -163,11 +168,6 @@
             took_ms=round(took_ms, 1),
         )
 
-    def _finish(self, call_id: CallId, outcome: CallOutcome) -> None:
-        self._apply(
-            admission.finish(self.admission, call_id, outcome, self.clock.now())
-        )
-
     def _refuse_early(self, call: UpstreamCall) -> Failure | None:
         current = self.record.current
         if current is None or not self.record.is_ready() or self.is_stopping:
@@ -200,7 +200,7 @@
             admission.cancel(self.admission, call_id)
             self.waiting.pop(call_id, None)
             if call_id in self.admission.running:
-                self._finish(call_id, CallOutcome.cancelled)
+                self.finish(call_id, CallOutcome.cancelled)
             raise
 
     def _apply(self, decisions: list[Decision]) -> None:
@@ -259,8 +259,7 @@
         )
         wait_s = (left_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
         try:
-            async with asyncio.timeout(wait_s):
-                answer, head = await future
+            answer, head = await within(wait_s, future)
         except TimeoutError:
             connection.close()
             return unknown(RefusalCode.deadline_exceeded, 'no response')
@@ -270,6 +269,21 @@
         return _judge(answer, head)
 
 
+class _RunningCall:
+    """End a call at the gate, also when it is cancelled."""
+
+    def __init__(self, gate: InstanceGate, call_id: CallId) -> None:
+        self.gate = gate
+        self.call_id = call_id
+        self.outcome = CallOutcome.cancelled
+
+    def __enter__(self) -> '_RunningCall':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.gate.finish(self.call_id, self.outcome)
+
+
 def _ignore_loss() -> None:
     """Ignore that the upstream refuses connections."""
 
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -284,7 +284,7 @@
         await self.registration.end()
 
     def _open_calls(self) -> int:
-        return self.callers.requests + self.gate.running()
+        return self.callers.open_requests.count + self.gate.running()
 
     def _servers(self) -> tuple[CallerServer, ...]:
         return self.callers, self.announcements, self.checks, self.scrapes
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -6,6 +6,7 @@
 from jasmineramp.mesh.calls import CallEnd, UpstreamCall, not_run, unknown
 from jasmineramp.mesh.peer_links import LinkDownError, LinkLostError, PeerLink
 from jasmineramp.mesh.peer_messages import Ended, Run
+from jasmineramp.mesh.waits import within
 from jasmineramp.refusals import RefusalCode
 
 # Time for the answer that the upstream gives at its own deadline.
@@ -28,8 +29,7 @@
         return not_run(RefusalCode.upstream_lost, 'node unreachable'), None
     wait_s = (left_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
     try:
-        async with asyncio.timeout(wait_s):
-            frame = await future
+        frame = await within(wait_s, future)
     except TimeoutError:
         link.cancel(stream)
         return unknown(RefusalCode.deadline_exceeded, 'no answer'), None
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -65,7 +65,8 @@
     def __init__(self) -> None:
         self.frames = FrameBuffer()
         self.is_open = False
-        self.heard = asyncio.get_running_loop().time()
+        self.loop = asyncio.get_running_loop()
+        self.heard = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -75,7 +76,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle the frames that are complete."""
-        self.heard = asyncio.get_running_loop().time()
+        self.heard = self.loop.time()
         try:
             for body in self.frames.feed(data):
                 self.handle(decode_frame(body))
@@ -212,12 +213,11 @@
             raise LinkDownError(self.peer)
         self.next_stream += 1
         stream = self.next_stream
+        loop = self.connection.loop
         if not self.waiting:
             # Silence counts from the moment that a reply is owed.
-            self.connection.heard = asyncio.get_running_loop().time()
-        future: asyncio.Future[PeerFrame] = (
-            asyncio.get_running_loop().create_future()
-        )
+            self.connection.heard = loop.time()
+        future: asyncio.Future[PeerFrame] = loop.create_future()
         self.waiting[stream] = future
         self.connection.write(frame_of(stream))
         return stream, future
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -140,18 +140,30 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Return the frames that are complete; raise ValueError on nonsense."""
         buffer = self.buffer
+        if not buffer:
+            # Most reads hold whole frames, which are cut without a copy.
+            frames, start = _cut(data)
+            buffer += data[start:]
+            return frames
         buffer += data
-        frames: list[bytes] = []
-        start = 0
-        while len(buffer) - start >= LENGTH_BYTES:
-            size = int.from_bytes(buffer[start : start + LENGTH_BYTES], 'big')
-            if size > LARGEST_FRAME_BYTES:
-                raise ValueError(f'a frame of {size} bytes is too large')
-            end = start + LENGTH_BYTES + size
-            if len(buffer) < end:
-                break
-            frames.append(bytes(buffer[start + LENGTH_BYTES : end]))
-            start = end
-        if start:
-            del buffer[:start]
+        frames, start = _cut(buffer)
+        del buffer[:start]
         return frames
+
+
+def _cut(data: bytes | bytearray) -> tuple[list[bytes], int]:
+    """Return the complete frames and where the next one starts."""
+    frames: list[bytes] = []
+    start = 0
+    available = len(data)
+    while available - start >= LENGTH_BYTES:
+        body = start + LENGTH_BYTES
+        size = int.from_bytes(data[start:body], 'big')
+        if size > LARGEST_FRAME_BYTES:
+            raise ValueError(f'a frame of {size} bytes is too large')
+        end = body + size
+        if available < end:
+            break
+        frames.append(bytes(data[body:end]))
+        start = end
+    return frames, start
--- a/src/jasmineramp/mesh/quota_taker.py
+++ b/src/jasmineramp/mesh/quota_taker.py
@@ -1,9 +1,8 @@
 """Charge each request to the bucket of its workspace, wherever it is."""
 
-import asyncio
 from collections.abc import Callable, Iterable
 
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import Clock, Millis, later
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.peer_links import (
     LinkDownError,
@@ -13,12 +12,15 @@
 from jasmineramp.mesh.peer_messages import QuotaTaken, TakeQuota
 from jasmineramp.mesh.quotas import LocalQuotas, OwnedQuotas, Owners
 from jasmineramp.mesh.route_table import RankedWorkspace
+from jasmineramp.mesh.waits import within
 from jasmineramp.table import WorkspaceRow
 
 # Many times the round trip between failure domains.
 REPLY_TIMEOUT_S = 0.15
 # An owner that is only late goes on granting the whole rate to others.
 LATE_OWNER_PART = 0.1
+# Links are checked for silence this often.
+REACHABLE_VALID_MS = 100.0
 
 
 class FleetQuotas:
@@ -37,10 +39,13 @@
         self.owned = OwnedQuotas()
         self.local = LocalQuotas()
         self.links: dict[NodeId, PeerLink] = {}
+        self.reachable = float(1)
+        self.reachable_until = Millis(float('-inf'))
 
     def set_nodes(self, nodes: Iterable[NodeId]) -> None:
         """Adopt the registered nodes and forget buckets that moved away."""
         self.owners.set_nodes(nodes)
+        self.reachable_until = Millis(float('-inf'))
         self.owned.keep(
             name
             for name in list(self.owned.buckets)
@@ -71,9 +76,16 @@
             return None
         if not self.is_registered(now):
             return None
-        return self.owned.take(row, self._reachable(), now)
+        return self.owned.take(row, self._reachable(now), now)
 
-    def _reachable(self) -> float:
+    def _reachable(self, now: Millis) -> float:
+        """Return the part of the nodes in contact with this one."""
+        if now >= self.reachable_until:
+            self.reachable_until = later(now, REACHABLE_VALID_MS)
+            self.reachable = self._count_reachable()
+        return self.reachable
+
+    def _count_reachable(self) -> float:
         nodes = max(1, len(self.owners.nodes))
         suspects = sum(link.is_suspect() for link in self.links.values())
         return max(1, nodes - suspects) / nodes
@@ -89,8 +101,7 @@
         except LinkDownError:
             return None
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                frame = await future
+            frame = await within(REPLY_TIMEOUT_S, future)
         except (TimeoutError, LinkLostError):
             link.forget(stream)
             return None
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -1,6 +1,7 @@
 """Send calls to the upstream of this VM over kept HTTP/1.1 connections."""
 
 import asyncio
+import functools
 from collections import deque
 from collections.abc import Callable
 
@@ -130,7 +131,8 @@
         if lowered in _FRAMING:
             self.is_framed = True
         elif lowered == b'keep-alive':
-            self._read_keep_alive(value)
+            limit = _keep_alive_ms(value)
+            self.idle_limit_ms = min(self.idle_limit_ms, limit)
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -187,13 +189,6 @@
         if exchange is not None and not exchange.future.done():
             exchange.future.set_exception(error)
 
-    def _read_keep_alive(self, value: bytes) -> None:
-        for part in value.split(b','):
-            name, _, text = part.strip().partition(b'=')
-            if name.lower() == b'timeout' and text.strip().isdigit():
-                limit = int(text) * MILLIS_PER_SECOND / 2
-                self.idle_limit_ms = min(IDLE_MS, limit)
-
 
 class UpstreamPool:
     """Hold the connections to the upstream at one address."""
@@ -268,3 +263,13 @@
         self.is_closed = True
         while self.idle:
             self.idle.pop().transport.close()
+
+
+@functools.lru_cache(maxsize=64)
+def _keep_alive_ms(value: bytes) -> float:
+    """Return how long an announced connection may idle, with a margin."""
+    for part in value.split(b','):
+        name, _, text = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and text.strip().isdigit():
+            return int(text) * MILLIS_PER_SECOND / 2
+    return IDLE_MS
--- /dev/null
+++ b/src/jasmineramp/mesh/waits.py
@@ -0,0 +1,24 @@
+"""Wait for a reply for a bounded time."""
+
+import asyncio
+from typing import Any, TypeVar
+
+_Reply = TypeVar('_Reply')
+
+
+async def within(wait_s: float, future: 'asyncio.Future[_Reply]') -> _Reply:
+    """Return the result of a future; raise TimeoutError after wait_s seconds.
+
+    One timer costs a fraction of `asyncio.timeout`, which also supports
+    nesting and rescheduling.
+    """
+    timer = future.get_loop().call_later(wait_s, _expire, future)
+    reply = await future
+    # The timer of a future that failed or was cancelled finds it done.
+    timer.cancel()
+    return reply
+
+
+def _expire(future: 'asyncio.Future[Any]') -> None:
+    if not future.done():
+        future.set_exception(TimeoutError())
--- a/src/jasmineramp/platform/headers.py
+++ b/src/jasmineramp/platform/headers.py
@@ -63,15 +63,19 @@
 
 def read_request(request: CallerRequest) -> CallHead:
     """Return what the headers of a caller's request say."""
-    named = _named_by_connection(request.headers)
+    named: frozenset[bytes] = frozenset()
     said: dict[bytes, str] = {}
     kept: Headers = []
-    for name, value in request.headers:
-        lowered = name.lower()
+    for header in request.headers:
+        lowered = header[0].lower()
         if lowered in _READ:
-            said[lowered] = value.decode('latin-1')
-        if lowered not in _NOT_FORWARDED and lowered not in named:
-            kept.append((name, value))
+            said[lowered] = header[1].decode('latin-1')
+        elif lowered == b'connection':
+            named = named or _split_names(header[1])
+        if lowered not in _NOT_FORWARDED:
+            kept.append(header)
+    if named:
+        kept = [header for header in kept if header[0].lower() not in named]
     return CallHead(
         said.get(_REQUEST_ID, ''),
         _read_number(said.get(_DEADLINE, '')),
@@ -136,11 +140,8 @@
     return CallerResponse(status, headers, body)
 
 
-def _named_by_connection(headers: Headers) -> frozenset[bytes]:
-    for name, value in headers:
-        if name.lower() == b'connection':
-            return frozenset(part.strip().lower() for part in value.split(b','))
-    return frozenset()
+def _split_names(value: bytes) -> frozenset[bytes]:
+    return frozenset(part.strip().lower() for part in value.split(b','))
 
 
 def _read_number(text: str) -> float | None:
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -203,8 +203,13 @@
     service = state.services.get(service_name)
     if service is None:
         return False
-    ready = [each for each in service.targets.values() if each.is_ready()]
-    return bool(ready) and all(each.sheds(importance, now) for each in ready)
+    found = False
+    for target in service.targets.values():
+        if target.is_ready():
+            if not target.sheds(importance, now):
+                return False
+            found = True
+    return found
 
 
 def admits(
