Tell the story of a request from the nodes' logs

Cause: an id from a failed request led to its cause only by grep over all files; jasmineramp-explain asked the operator ports of the other node program.

Change: `jasmineramp-explain log ID FILE...` reads the lines of several nodes, puts them in order, adds what the nodes that took part had lost or learned shortly before, and names the remedy of each code.

--- a/src/jasmineramp/explain_command.py
+++ b/src/jasmineramp/explain_command.py
@@ -1,5 +1,6 @@
 """Explain why a request or a workspace was refused."""
 
+import pathlib
 from collections.abc import Sequence
 from typing import Any
 
@@ -14,6 +15,7 @@
     run_command,
     text,
 )
+from jasmineramp.log_story import LogLine, Story, read_lines, render_line, tell
 from jasmineramp.operator_client import ask_all, parse_nodes
 from jasmineramp.refusal_advice import advise
 from jasmineramp.refusal_counts import Reason, ReasonCount, RefusalSummary
@@ -51,7 +53,7 @@
 
 
 class ExplainCommand:
-    """Explain refusals from --nodes host:port,... (operator ports).
+    """Explain refusals from --nodes host:port,... (operator ports) or logs.
 
     Exit status: 0 done, 1 nothing found or no node answered, 2 bad input,
     4 some nodes could not be asked.
@@ -79,6 +81,20 @@
             code = FAILED
         return Report('\n'.join(lines), document, code)
 
+    @text()
+    def log(self, request_id: str, *files: str) -> Report:
+        """Tell the story of a request from log files of several nodes."""
+        lines: list[LogLine] = []
+        unread = 0
+        for file in files:
+            content = pathlib.Path(file).read_text(encoding='utf-8')
+            found, other = read_lines(content.splitlines())
+            lines += found
+            unread += other
+        story = tell(request_id, lines, unread)
+        told = _render_story(story, len(lines))
+        return Report(told, story, DONE if story.lines else FAILED)
+
     @text()
     def workspace(
         self,
@@ -188,6 +204,22 @@
     return PENDING if answered else FAILED
 
 
+def _render_story(story: Story, read: int) -> str:
+    if not story.lines:
+        return (
+            f'no line about request {story.request} among {read} lines; '
+            'answered calls are sampled, and lines_left_out counts the rest'
+        )
+    lines = [render_line(each) for each in story.lines]
+    codes = {
+        str(each.fields['code'])
+        for each in story.lines
+        if each.request and 'code' in each.fields
+    }
+    lines += [f'to change {code}: {advise(code)}' for code in sorted(codes)]
+    return '\n'.join(lines)
+
+
 def _render_figure(figure: float | None, limit: float | None) -> str:
     if figure is None and limit is None:
         return ''
