Soak the links between nodes, rates, repeats, stops and older tables

Cause: the soak stood a proxy only before store and upstreams and judged five promises. Over quota, over the retry budget, older tables and answers lost around a planned stop were not judged, callers used each connection once.

Change: peers reach each other by a proxy (the store stand-in registers its port); callers keep connections; a limited workspace is pressed beyond its rate; all upstreams fail for a while; SIGHUP; keys are withdrawn while no node can learn of it; a route is removed; one node is stopped as planned while callers use its connections until the process is gone.

Finding: one trial did not become ready. A node's log says "address already in use": ports from the kernel's range for clients were taken between choice and listen.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import os
-import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -20,6 +19,7 @@
 from jasmineramp.mesh.route_table import CallerLimits
 from jasmineramp.platform.binding import PlatformBinding
 from jasmineramp.platform.store_client import StoreClient
+from tests.fakes.sockets import free_port
 
 HOST = '127.0.0.1'
 DEADLINE_S = 10
@@ -238,7 +238,7 @@
         )
 
     def _settings(self, number: int) -> NodeSettings:
-        ports = [_free_port() for _ in range(6)]
+        ports = [free_port() for _ in range(6)]
         addresses = [(HOST, port) for port in ports]
         return NodeSettings(
             NodeId(f'n{number}'),
@@ -253,12 +253,6 @@
         )
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 async def request(
     address: tuple[str, int],
     method: str,
--- a/tests/fakes/sockets.py
+++ b/tests/fakes/sockets.py
@@ -1,6 +1,7 @@
 """Answer HTTP over real sockets as a test says, and assemble nodes."""
 
 import contextlib
+import random
 import socket
 import threading
 import unittest
@@ -14,6 +15,10 @@
 from jasmineramp.settings import Settings
 from jasmineramp.table_files import encode_table, parse_json
 
+_PORTS = (15_000, 32_000)
+_random = random.SystemRandom()
+_given: set[int] = set()
+
 Answer = bytes | Callable[[socket.socket, bytes], None]
 
 
@@ -23,9 +28,19 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing listens on and that no client is given.
+
+    The kernel gives clients ports above this range. A port of that range may
+    be taken between this call and the start of the process that listens.
+    """
+    while True:
+        port = _random.randrange(*_PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            return port
 
 
 def read_request(sock: socket.socket) -> bytes:
--- /dev/null
+++ b/tests/soak/history.py
@@ -0,0 +1,92 @@
+"""Judge what callers saw and upstreams ran against the promises."""
+
+from collections import Counter
+
+import msgspec
+
+RATE = 20
+BURST = 10
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVER = 0.1
+QUOTA_SLACK = 20
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 40
+REFUSALS = frozenset((429, 503))
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """Hold that an upstream began to work on a request; time in seconds."""
+
+    time: float
+    request_id: str
+    workspace: str
+
+
+class History:
+    """Collect sends, arrivals and ends, and what breaks a promise at once."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, float] = {}
+        self.ends: dict[str, int] = {}
+        self.arrivals: list[Arrival] = []
+        self.forbidden: dict[str, str] = {}
+        self.unanswered: set[str] = set()
+        self.wrong: list[str] = []
+
+    def judge(self, limited: str) -> list[str]:
+        """Return the broken promises; one workspace has the rate limit."""
+        runs = Counter(each.request_id for each in self.arrivals)
+        for request_id, count in runs.items():
+            if request_id.startswith('buy') and count > 1:
+                self.wrong.append(f'{request_id} ran {count} times')
+            if self.ends.get(request_id) in REFUSALS:
+                self.wrong.append(f'{request_id} ran, but was refused')
+            if request_id in self.forbidden:
+                reason = self.forbidden[request_id]
+                self.wrong.append(f'{request_id} ran {reason}')
+            if request_id in self.unanswered:
+                self.wrong.append(f'{request_id} ran, its answer was lost')
+        self._judge_rate(limited)
+        self._judge_repeats()
+        if not runs or 200 not in self.ends.values():
+            self.wrong.append('nothing was served')
+        return self.wrong
+
+    def _judge_rate(self, limited: str) -> None:
+        times = sorted(
+            each.time for each in self.arrivals if each.workspace == limited
+        )
+        bound = RATE * QUOTA_WINDOW_S + BURST
+        bound = bound * (1 + QUOTA_OVER) + QUOTA_SLACK
+        most = _most_within(times, QUOTA_WINDOW_S)
+        if most > bound:
+            self.wrong.append(f'{limited} ran {most} calls, {bound:.0f} may')
+
+    def _judge_repeats(self) -> None:
+        firsts = sorted(self.sent.values())
+        seen: set[str] = set()
+        repeats: list[float] = []
+        for each in sorted(self.arrivals, key=lambda each: each.time):
+            if each.request_id in seen:
+                repeats.append(each.time)
+            seen.add(each.request_id)
+        for start in repeats:
+            end = start + RETRY_WINDOW_S
+            count = sum(start <= each <= end for each in repeats)
+            requests = max(
+                sum(start - shift <= each <= end - shift for each in firsts)
+                for shift in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            if count > RETRY_RATIO * requests + RETRY_SLACK:
+                self.wrong.append(f'{count} repeats of {requests} requests')
+                return
+
+
+def _most_within(times: list[float], span: float) -> int:
+    most = first = 0
+    for last, time in enumerate(times):
+        while time - times[first] > span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- /dev/null
+++ b/tests/soak/member.py
@@ -0,0 +1,162 @@
+"""Own one node process, its upstream and the proxies around it."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import re
+import signal
+import subprocess
+import sys
+import time
+
+from bench.metadata_store import MetadataStore
+
+from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.directory import PREFIX
+from tests.fakes.mesh import FakeUpstream, request
+from tests.fakes.sockets import free_port
+from tests.soak.history import Arrival, History
+from tests.soak.proxy import Proxy
+
+HOST = '127.0.0.1'
+SOURCES = pathlib.Path(__file__).parents[2] / 'src'
+DRAIN_S = 2.0
+PORTS = ('outbound', 'inbound', 'ready', 'control', 'metrics')
+
+
+class RedirectingStore(MetadataStore):
+    """Register the proxy before a node in place of the node's own port."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ports: dict[int, int] = {}
+
+    def write(self, key: str, content: bytes, lease: int = 0) -> None:
+        """Write an item with the port that peers are to use."""
+        if key.startswith(PREFIX):
+            content = re.sub(rb'"port":(\d+)', self._redirect, content)
+        super().write(key, content, lease)
+
+    def _redirect(self, found: 're.Match[bytes]') -> bytes:
+        port = int(found[1])
+        return b'"port":%d' % self.ports.get(port, port)
+
+
+class Member:
+    """Own one node process, its upstream and the proxies around it."""
+
+    def __init__(
+        self, number: int, folder: pathlib.Path, history: History
+    ) -> None:
+        self.history = history
+        self.number = number
+        self.path = folder / f'node-{number}.conf'
+        self.log = folder / f'node-{number}.log'
+        self.upstream = FakeUpstream(f'i-{number}')
+        self.ports = {name: free_port() for name in PORTS}
+        self.process: subprocess.Popen[bytes] | None = None
+        self.acknowledged_leave = float('inf')
+        self.is_failing = False
+
+    async def prepare(
+        self, platform: RedirectingStore, store_port: int, rng: random.Random
+    ) -> None:
+        """Start the upstream and the proxies and write the settings."""
+        self.rng = rng
+        self.upstream.behave = self.work
+        await self.upstream.server.listen(HOST, 0)
+        server = self.upstream.server.server
+        assert server is not None
+        port = server.sockets[0].getsockname()[1]
+        self.to_upstream = Proxy(HOST, (HOST, port))
+        self.to_store = Proxy(HOST, (HOST, store_port))
+        self.to_node = Proxy(HOST, (HOST, self.ports['inbound']))
+        inbound = await self.to_node.start()
+        platform.ports[self.ports['inbound']] = inbound
+        self.upstream_port = await self.to_upstream.start()
+        store = await self.to_store.start()
+        lines = [
+            f'self.node=n{self.number}',
+            f'self.zone=z{self.number % 2}',
+            'self.service=orders',
+            f'self.appAddr={HOST}:{self.upstream_port}',
+            f'platform.platform.address={HOST}:{store}',
+            f'network.internalPortRange={self.ports["metrics"]}',
+        ]
+        lines += [
+            f'network.listen.{name}={HOST}:{self.ports[name]}'
+            for name in PORTS[:-1]
+        ]
+        self.path.write_text('\n'.join(lines), encoding='utf-8')
+
+    async def work(self, call: CallerRequest) -> CallerResponse:
+        """Work for a while and return what identifies the call."""
+        now = time.monotonic()
+        said = {name.lower(): value.decode() for name, value in call.headers}
+        arrival = Arrival(
+            now,
+            said[b'x-jasmineramp-request-id'],
+            said.get(b'x-jasmineramp-tenant', ''),
+        )
+        self.history.arrivals.append(arrival)
+        if now > self.acknowledged_leave + DRAIN_S:
+            self.history.wrong.append(f'{arrival.request_id} ran late')
+        await asyncio.sleep(self.rng.uniform(0.005, 0.15))
+        return CallerResponse(500 if self.is_failing else 200, [], call.target)
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if not self.is_alive():
+            with self.log.open('ab') as output:
+                self.process = subprocess.Popen(
+                    [sys.executable, '-m', 'jasmineramp.platform'],
+                    env={
+                        **os.environ,
+                        'JASMINERAMP_BOOT': str(self.path),
+                        'PYTHONPATH': str(SOURCES),
+                    },
+                    stdout=output,
+                    stderr=output,
+                )
+
+    def is_alive(self) -> bool:
+        """Tell whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self.process is not None and self.is_alive():
+            self.process.send_signal(number)
+
+    async def announce(self, state: str = 'ready') -> bool:
+        """Send one heartbeat; return whether it was acknowledged."""
+        self.upstream.sequence += 1
+        body = {
+            'address': f'{HOST}:{self.upstream_port}',
+            'info': {'service': 'orders', 'zone': 'z0', 'slots': 8},
+            'status': {'state': state, 'sequence': self.upstream.sequence},
+            'born': self.upstream.born,
+        }
+        path = f'/instances/{self.upstream.name}/heartbeat'
+        address = (HOST, self.ports['control'])
+        try:
+            status, _, _ = await request(
+                address, 'POST', path, {}, json.dumps(body).encode()
+            )
+        except (OSError, ValueError, IndexError, TimeoutError):
+            return False
+        return status == 200
+
+    def close(self) -> None:
+        """End the process and close what surrounds it."""
+        if self.process is not None:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            self.process.wait()
+        self.upstream.server.stop()
+        self.to_upstream.close()
+        self.to_store.close()
+        self.to_node.close()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -6,7 +6,7 @@
 from tests.soak.run import Soak
 
 SEED = 7
-SECONDS = 10
+SECONDS = 16
 NODES = 3
 
 
