Free closed caller connections at once

Cause: parser and connection refer to each other, so each closed connection stayed until the collector ran (threshold 5,000).

Change: the parser is dropped when the connection is lost.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -132,6 +132,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request whose caller has gone."""
         self._leave()
+        # Parser and connection refer to each other; most connections serve
+        # one request and would wait for the collector.
+        del self.parser
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as its leaving."""
