Share the calls of a domain whose instances are slow

Change: calls are spread by load as soon as a slot of the own domain serves less than 0.6 of what the middle one of the other domains does, by the measured capacity. Calls with large bodies stay.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -59,6 +59,8 @@
 REACH_WAIT_MS = 200
 REACH_INTERVAL_S = 0.05
 SERVER_ERROR = 500
+# Bytes between failure domains are priced; most calls are far smaller.
+LARGE_BODY_BYTES = 16_384
 
 _encoder = msgspec.json.Encoder()
 
@@ -286,6 +288,7 @@
                 admitted.service,
                 admitted.excluded | self.unreachable,
                 now,
+                is_large=len(admitted.upstream_call.body) > LARGE_BODY_BYTES,
             )
             if instance is not None or admitted.excluded or now > until:
                 return instance
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -15,6 +15,7 @@
     Pool,
     Service,
     Target,
+    is_slow,
     weigh,
 )
 
@@ -117,9 +118,12 @@
     service_name: ServiceName,
     exclude: frozenset[NodeId],
     now: Millis,
+    *,
+    is_large: bool = False,
 ) -> Instance | None:
     """Choose an instance and count the call as in flight on it.
 
+    A large call leaves the own domain only when that is full.
     The caller ends the call with observe, whatever becomes of it.
     """
     service = state.services.get(service_name)
@@ -130,7 +134,11 @@
     target = None
     if service.home is not None:
         target = _pick(state.random, service.home, exclude, now)
-    if service.others and (target is None or target.is_full(now)):
+    if service.others and (
+        target is None
+        or target.is_full(now)
+        or (service.is_home_slow and not is_large)
+    ):
         other = _pick_elsewhere(state.random, service, exclude, now)
         if target is None or (
             other is not None and other.load(now) < target.load(now)
@@ -338,6 +346,7 @@
     pools = {name: Pool(found) for name, found in by_domain.items()}
     service.home = pools.pop(state.domain, None)
     service.others = list(pools.values())
+    service.is_home_slow = is_slow(service.home, service.others)
     service.spare_until = 0
     service.rebuild_at = min(
         (each.ejected_until for each in ejected),
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -9,6 +9,9 @@
 SLOW_START_MS = 10_000
 LEAST_SLOW_START = 0.1
 CAPACITY_FACTOR = 8
+# A slot of the own domain that serves less than this part of what a slot of
+# the middle one of the others serves makes calls late although it is free.
+SLOW_PART = 0.6
 
 
 class Target:
@@ -120,6 +123,12 @@
         self.cumulative = list(accumulate(each.weight for each in targets))
         self.total = self.cumulative[-1]
 
+    def speed(self) -> float:
+        """Return the measured rate of one slot, 0 if none is measured."""
+        measured = [each for each in self.targets if each.capacity]
+        slots = sum(each.slots for each in measured)
+        return sum(each.weight for each in measured) / max(1, slots)
+
     def spare(self, now: Millis) -> int:
         """Return the slots that are not known to be in use."""
         return sum(
@@ -129,12 +138,21 @@
         )
 
 
+def is_slow(home: Pool | None, others: list[Pool]) -> bool:
+    """Tell whether the own domain serves calls far slower than another."""
+    if home is None or not others:
+        return False
+    speeds = sorted(pool.speed() for pool in others)
+    return 0 < home.speed() < SLOW_PART * speeds[(len(speeds) - 1) // 2]
+
+
 class Service:
     """Hold all instances of a service."""
 
     def __init__(self) -> None:
         self.targets: dict[NodeId, Target] = {}
         self.home: Pool | None = None
+        self.is_home_slow = False
         self.others: list[Pool] = []
         # Running totals of the spare slots of the other domains.
         self.shares: list[float] = []
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -77,6 +77,36 @@
         share = count(state, 2000, WARM)['small']
         self.assertTrue(120 < share < 280, share)
 
+    def test_a_slow_own_domain_shares_its_calls(self) -> None:
+        """Calls are not late at a slow instance while a fast one is free."""
+        for capacity, expected in ((30.0, range(5, 12)), (80.0, range(1))):
+            state = make_state(
+                make_instance('home'), make_instance('away', DomainId('b'))
+            )
+            for name, each in (('home', capacity), ('away', 100.0)):
+                routing.choose(state, SERVICE, NOBODY, WARM)
+                report = LoadReport(0, each)
+                routing.observe(
+                    state,
+                    NodeId(name),
+                    CallOutcome.succeeded,
+                    WARM,
+                    load=report,
+                )
+            later = Millis(WARM + routing.REWEIGH_MS)
+            for target in state.targets.values():
+                target.in_flight = 0
+            chosen = Counter(pick(state, later) for _ in range(8))
+            with self.subTest(capacity=capacity):
+                self.assertIn(chosen['away'], expected)
+            for target in state.targets.values():
+                target.in_flight = 0
+            for _ in range(8):
+                instance = routing.choose(
+                    state, SERVICE, NOBODY, later, is_large=True
+                )
+                self.assertEqual(instance and instance.node, 'home')
+
     def test_draining_and_starting_instances_get_no_calls(self) -> None:
         state = make_state(
             make_instance('a', state=UpstreamState.draining),
