Let assertions of the node tests fail

It replaced unittest's own `fail`, so assertIn and assertNotIn of this class could not fail; two of them did not hold. Found by "coroutine 'NodeTest.fail' was never awaited". The two belong to one test: the fake upstream added the right request id after the stray one, which no instance does.

All 25 tests hold with assertions that can fail.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -109,10 +109,14 @@
 
     def sign(self, response: CallerResponse, request_id: str) -> CallerResponse:
         """Add what an instance adds to each answer."""
-        response.headers += [
-            (b'X-Jasmineramp-Request-Id', request_id.encode()),
-            (b'X-Jasmineramp-Response-Signature', self.name.encode()),
-        ]
+        named = {name.lower() for name, _ in response.headers}
+        response.headers.append(
+            (b'X-Jasmineramp-Response-Signature', self.name.encode())
+        )
+        if b'x-jasmineramp-request-id' not in named:
+            response.headers.append(
+                (b'X-Jasmineramp-Request-Id', request_id.encode())
+            )
         return response
 
     async def succeed(self, request: CallerRequest) -> CallerResponse:
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -36,7 +36,7 @@
     async def lose_answer(self, _request: CallerRequest) -> None:
         """Run a call and cut the connection."""
 
-    async def fail(self, _request: CallerRequest) -> CallerResponse:
+    async def answer_500(self, _request: CallerRequest) -> CallerResponse:
         """Answer with a failure."""
         return CallerResponse(500, [], b'broken')
 
@@ -107,7 +107,7 @@
             self.assertLessEqual(self.runs(f'id-{each}'), 2)
 
     async def test_failure_of_an_upstream_is_passed_on(self) -> None:
-        self.behave(self.fail)
+        self.behave(self.answer_500)
         status, headers, body = await self.fleet.call(0, '/buy/1', 'id-1')
         self.assertEqual((status, body), (500, b'broken'))
         self.assertIn(SIGNATURE, headers)
