Call the store less at the start and while it is away

While the store is away each node repeats three kinds of calls every 0.25 to 0.3 s, priced like others.

Change: a node that starts lists once and then waits up to 1.5 s for the leader of its domain; it registers together with the first announcement; failed calls are repeated after 0.25 to 0.7 s, growing, with jitter.

What is left are calls while the store is away and restarts.

--- a/src/jasmineramp/mesh/directory_watch.py
+++ b/src/jasmineramp/mesh/directory_watch.py
@@ -8,8 +8,8 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory import PREFIX, Directory, MemberEntry
 from jasmineramp.mesh.store import Store, StoreItem, StoreOutcome
+from jasmineramp.mesh.store_pauses import Pauses
 
-RETRY_MS = 300
 # A connection that went silent is noticed after this time.
 WATCH_MS = 4_000
 # Changes that follow one another closely are read with one call.
@@ -42,6 +42,7 @@
         self.listed = Millis(float('-inf'))
         self.is_listed = False
         self.is_fed: Callable[[], bool] = _is_never_fed
+        self.pauses = Pauses()
 
     async def run(self) -> None:
         """Follow the entries until cancelled."""
@@ -91,6 +92,7 @@
             return await self._list(stale=self.is_listed)
         reply = await self.store.watch(PREFIX, self.revision, WATCH_MS)
         if reply.outcome is StoreOutcome.done:
+            self.pauses.reset()
             self.adopt(reply.revision, reply.items, is_full=False)
             return COALESCE_MS if reply.items else 0
         # What the watch missed is read anew.
@@ -98,12 +100,13 @@
         self.log.write(
             'watch_ended', outcome=reply.outcome.value, detail=reply.detail
         )
-        return RETRY_MS
+        return self.pauses.next()
 
     async def _list(self, *, stale: bool) -> float:
         reply = await self.store.list_items(PREFIX, stale=stale)
         if reply.outcome is not StoreOutcome.done:
-            return RETRY_MS
+            return self.pauses.next()
+        self.pauses.reset()
         self.listed = self.clock.now()
         self.is_listed = True
         self.adopt(reply.revision, reply.items, is_full=True)
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -16,10 +16,12 @@
     read_entry,
 )
 from jasmineramp.mesh.store import Store, StoreOutcome
+from jasmineramp.mesh.store_pauses import Pauses
 
 TTL_MS = 8_000
 KEEP_EVERY_MS = 2_000
-RETRY_MS = 300
+# An upstream announces itself every 1.5 s; one write then serves for both.
+FIRST_ENTRY_WAIT_MS = 1_600
 MILLIS_PER_SECOND = 1000
 
 _encoder = msgspec.json.Encoder()
@@ -49,6 +51,7 @@
         self.stored = asyncio.Event()
         self.changed = asyncio.Event()
         self.is_closed = False
+        self.pauses = Pauses()
 
     def touch(self) -> None:
         """Note that the entry has changed."""
@@ -84,12 +87,15 @@
     async def _step(self) -> float:
         sent = self.clock.now()
         self.changed.clear()
-        if not self.is_restored and not await self._restore():
-            return RETRY_MS
+        if not self.is_restored:
+            if not await self._restore():
+                return self.pauses.next()
+            if not self.revision:
+                return FIRST_ENTRY_WAIT_MS
         if not self.lease:
             reply = await self.store.grant_lease(TTL_MS)
             if reply.outcome is not StoreOutcome.done:
-                return RETRY_MS
+                return self.pauses.next()
             self.lease = reply.lease
             self.written = -1
         elif self.written == self.version:
@@ -98,9 +104,10 @@
                 self._lose_lease('lease has ended')
                 return 0.001
             if reply.outcome is not StoreOutcome.done:
-                return RETRY_MS
+                return self.pauses.next()
         if self.written != self.version and not await self._write():
-            return RETRY_MS
+            return self.pauses.next()
+        self.pauses.reset()
         self.valid_until = Millis(sent + TTL_MS)
         return KEEP_EVERY_MS
 
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -23,6 +23,8 @@
 LARGEST_AGE_MS = 1_200
 # After one lost reply the node still counts as fed, after two it does not.
 FED_MS = 1_000
+# A node that starts waits this long for its leader before it watches itself.
+FIRST_FED_MS = 1_500
 LEADERSHIP = 'leader'
 
 
@@ -49,6 +51,7 @@
         self.clock = clock
         self.candidates = Owners()
         self.fed = Millis(float('-inf'))
+        self.started = clock.now()
 
     def leader(self) -> NodeId | None:
         """Return the leader of the domain, None if it is this node."""
@@ -61,8 +64,11 @@
         return None if leader == self.node else leader
 
     def is_fed(self) -> bool:
-        """Tell whether the leader has answered just now."""
-        return self.clock.now() - self.fed < FED_MS
+        """Tell whether the leader has answered just now, or is about to."""
+        now = self.clock.now()
+        if now - self.started < FIRST_FED_MS and self.leader() is not None:
+            return True
+        return now - self.fed < FED_MS
 
     def answer(self, frame: AskNews) -> News:
         """Return what is newer than what a node knows."""
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -9,12 +9,12 @@
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.route_table import RouteTable
 from jasmineramp.mesh.store import Store, StoreOutcome
+from jasmineramp.mesh.store_pauses import Pauses
 
 # A new table is in force after one interval and the read itself.
 INTERVAL_PART = 0.35
 # Nodes that ask the leader of their domain are that much later.
 ASK_INTERVAL_MS = 400
-RETRY_MS = 250
 MILLIS_PER_SECOND = 1000
 
 TableDecoder = Callable[[bytes, Revision], RouteTable]
@@ -54,6 +54,7 @@
         self.content = b''
         self.ask_leader: Callable[[], Awaitable[bool]] = _have_no_leader
         self.is_reached = False
+        self.pauses = Pauses()
 
     async def run(self) -> None:
         """Read the table until cancelled."""
@@ -62,13 +63,12 @@
             if await self.ask_leader():
                 await asyncio.sleep(ASK_INTERVAL_MS / MILLIS_PER_SECOND)
                 continue
-            reached = await self.read()
-            interval = self.freshness.apply_ms * INTERVAL_PART
-            wait = (
-                RETRY_MS
-                if not reached
-                else max(0, started + interval - self.clock.now())
-            )
+            if await self.read():
+                self.pauses.reset()
+                interval = self.freshness.apply_ms * INTERVAL_PART
+                wait = max(0, started + interval - self.clock.now())
+            else:
+                wait = self.pauses.next()
             await asyncio.sleep(wait / MILLIS_PER_SECOND)
 
     async def read(self) -> bool:
