Check the platform's files without starting a node

Cause: wrong settings or a broken configuration showed only in the log of a node that had started with them.

Change: `jasmineramp-check settings FILE` and `jasmineramp-check table FILE` print what a node would read, without keys, or place and remedy with exit status 2; `--json` prints data.

--- /dev/null
+++ b/tests/platform/test_check_command.py
@@ -0,0 +1,74 @@
+"""Test the check of the platform's files."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from jasmineramp.platform.check_command import main
+from tests.fakes.mesh import CONFIGURATION, KEY
+
+SETTINGS = """self.node=n1
+self.zone=a
+self.service=orders
+self.appAddr=127.0.0.1:1
+network.listen.outbound=127.0.0.1:2
+network.listen.inbound=127.0.0.1:3
+network.listen.ready=127.0.0.1:4
+network.listen.control=127.0.0.1:5
+network.internalPortRange=7000,7015
+platform.platform.address=127.0.0.1:6
+terms.bounds.drain=2500ms
+"""
+
+
+class CheckCommandTest(unittest.TestCase):
+    """Guard against files that are found unusable only by a running node."""
+
+    def check(self, verb: str, content: str, *options: str) -> tuple[int, str]:
+        """Return exit status and output for a file with a content."""
+        output = io.StringIO()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'file'
+            path.write_text(content, encoding='utf-8')
+            with (
+                contextlib.redirect_stdout(output),
+                contextlib.redirect_stderr(output),
+                self.assertRaises(SystemExit) as end,
+            ):
+                main([verb, str(path), *options])
+        return int(end.exception.code or 0), output.getvalue()
+
+    def test_settings(self) -> None:
+        """Usable settings are shown, unusable ones name place and remedy."""
+        status, printed = self.check('settings', SETTINGS)
+        self.assertEqual(status, 0, printed)
+        self.assertIn('node n1 of orders in a', printed)
+        self.assertIn('drain_ms 2500', printed)
+        wrong = SETTINGS.replace('127.0.0.1:6', 'nowhere')
+        status, printed = self.check('settings', wrong)
+        self.assertEqual(status, 2)
+        self.assertIn('platform.platform.address', printed)
+        self.assertIn('correct the settings file', printed)
+
+    def test_table(self) -> None:
+        """Rows are shown without keys; a broken one is named."""
+        status, printed = self.check('table', json.dumps(CONFIGURATION))
+        self.assertEqual(status, 0, printed)
+        self.assertIn('row buy: a.example/buy/ to orders 1, once', printed)
+        self.assertIn('workspace shop: no rate', printed)
+        self.assertNotIn(KEY, printed)
+        status, printed = self.check('table', '{"version": "1", "routes": 3}')
+        self.assertEqual(status, 2)
+        self.assertIn('$.routes', printed)
+
+    def test_output_as_data(self) -> None:
+        """Scripts read the same as JSON, without keys."""
+        status, printed = self.check(
+            'table', json.dumps(CONFIGURATION), '--json'
+        )
+        self.assertEqual(status, 0, printed)
+        self.assertEqual(len(json.loads(printed)['routes']), 3)
+        self.assertNotIn(KEY, printed)
