--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -6,8 +6,6 @@
 store reads and watches by itself.
 """
 
-import asyncio
-
 from jasmineramp.clock import Clock, Millis
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.mesh.directory import Directory
@@ -16,6 +14,7 @@
 from jasmineramp.mesh.peer_messages import AskNews, News
 from jasmineramp.mesh.quotas import Owners
 from jasmineramp.mesh.table_watch import TableWatch
+from jasmineramp.mesh.waits import within
 
 # Many times the round trip within a failure domain.
 ASK_TIMEOUT_S = 0.25
@@ -119,8 +118,7 @@
         except LinkDownError:
             return None
         try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
-                frame = await future
+            frame = await within(ASK_TIMEOUT_S, future)
         except (TimeoutError, LinkLostError):
             link.forget(stream)
             return None
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-RATE = 20
-BURST = 10
+RATE = 8
+BURST = 4
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVER = 0.1
 QUOTA_SLACK = 20
