Ask peers in one way and define a constant once

The quota taker and the relay each held the same exchange (ask, bounded wait, forget a late reply), and 20 modules defined the milliseconds of a second.

Change: `ask_peer` in peer_calls serves both; `MILLIS_PER_SECOND` stands in clock.py; the soak's modules take the loopback address from tests.fakes.mesh.

Behaviour stays.

--- a/src/jasmineramp/actors.py
+++ b/src/jasmineramp/actors.py
@@ -16,7 +16,7 @@
     Decide,
     TableLoaded,
 )
-from jasmineramp.clock import ORIGIN, Clock, Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, ORIGIN, Clock, Millis
 from jasmineramp.effects import (
     CountRefusal,
     Effect,
@@ -36,7 +36,6 @@
 # Gossip, offers and loans need nothing more often.
 IDLE_TICK_MS = 200
 SHORTEST_TICK_MS = 2
-MILLIS_PER_SECOND = 1000
 
 _log = get_logger(__name__)
 
--- a/src/jasmineramp/admission.py
+++ b/src/jasmineramp/admission.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from jasmineramp.clock import ORIGIN, Millis, later
+from jasmineramp.clock import MILLIS_PER_SECOND, ORIGIN, Millis, later
 from jasmineramp.fair_queue import Entry, FairQueue, QueuedCall
 from jasmineramp.ids import CallId, Importance, NodeId, ServiceName
 from jasmineramp.limits import (
@@ -22,7 +22,6 @@
 SHED_FILL = 0.75
 SHED_VALIDITY = 1000
 PROBE_INTERVAL = 50
-MILLIS_PER_SECOND = 1000
 
 
 class Decision(msgspec.Struct, frozen=True, gc=False):
--- a/src/jasmineramp/call_runner.py
+++ b/src/jasmineramp/call_runner.py
@@ -29,7 +29,7 @@
     RetryLater,
     RunHere,
 )
-from jasmineramp.clock import Clock
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock
 from jasmineramp.events import Event
 from jasmineramp.http_messages import HttpRequest, HttpResponse
 from jasmineramp.ids import CallId
@@ -43,7 +43,6 @@
 # The instance's node answers at the deadline; its answer needs some time.
 ANSWER_GRACE_MS = 50
 KEPT_RESPONSE_BYTES = 64 * 1024
-_MILLIS_PER_SECOND = 1000
 
 CallResult = HttpResponse | Refusal
 
@@ -236,7 +235,7 @@
     ) -> UpstreamResult | None:
         until = decision.deadline + ANSWER_GRACE_MS
         while True:
-            remaining = (until - self.clock.now()) / _MILLIS_PER_SECOND
+            remaining = (until - self.clock.now()) / MILLIS_PER_SECOND
             if remaining <= 0:
                 return UpstreamResult(Attempt(AttemptKind.timed_out))
             try:
@@ -333,7 +332,7 @@
     runner: CallRunner,
     progress: _Progress,
 ) -> CallDecision | CallResult:
-    time.sleep(decision.delay / _MILLIS_PER_SECOND)
+    time.sleep(decision.delay / MILLIS_PER_SECOND)
     return runner.ask(progress, BackoffEnded(progress.call_id))
 
 
--- a/src/jasmineramp/clock.py
+++ b/src/jasmineramp/clock.py
@@ -7,6 +7,7 @@
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 ORIGIN = Millis(0)
+MILLIS_PER_SECOND = 1000
 
 
 class Clock(Protocol):
--- a/src/jasmineramp/gateway.py
+++ b/src/jasmineramp/gateway.py
@@ -17,6 +17,7 @@
 from jasmineramp.call_messages import CallArrived
 from jasmineramp.call_runner import CallRunner
 from jasmineramp.claim_log import digest_body
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.credentials import find_key, strip_headers, strip_query
 from jasmineramp.http_messages import Header, HttpRequest, HttpResponse
 from jasmineramp.ids import (
@@ -42,7 +43,6 @@
     name.lower() for name in (CONTEXT_HEADER, DEADLINE_HEADER, REQUEST_HEADER)
 )
 _LONGEST_IDEMPOTENCY_KEY = 255
-_MILLIS_PER_SECOND = 1000
 _CANCELLED = 499
 _DISCARDED_BYTES = 65_536
 
@@ -331,7 +331,7 @@
     ]
     retry_after = document.get('retry_after')
     if retry_after is not None:
-        seconds = max(1, round(retry_after / _MILLIS_PER_SECOND))
+        seconds = max(1, round(retry_after / MILLIS_PER_SECOND))
         headers.append(('Retry-After', str(seconds)))
     if document.get('request_id'):
         headers.append((REQUEST_HEADER, document['request_id']))
--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.calls import CallerRequest, Headers
 from jasmineramp.mesh.route_table import CallerLimits
 
@@ -14,7 +15,6 @@
 LARGEST_PIPELINE = 16
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
-MILLIS_PER_SECOND = 1000
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
--- a/src/jasmineramp/mesh/directory_watch.py
+++ b/src/jasmineramp/mesh/directory_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory import PREFIX, Directory, MemberEntry
@@ -17,7 +17,6 @@
 # A watch may miss changes when the store loses its history.
 RELIST_MS = 10_000
 IDLE_MS = 200
-MILLIS_PER_SECOND = 1000
 
 
 class DirectoryWatch:
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -6,7 +6,7 @@
 
 from jasmineramp import admission
 from jasmineramp.admission import AdmissionState, Decision, Refuse, Start, Wait
-from jasmineramp.clock import Clock, Millis, later
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis, later
 from jasmineramp.fair_queue import QueuedCall
 from jasmineramp.ids import CallId, Importance
 from jasmineramp.limits import CallOutcome
@@ -41,7 +41,6 @@
 LEAST_SEND_MS = 4
 # Above this part of the limit, peers compare with other failure domains.
 COMFORTABLE_PART = 0.75
-MILLIS_PER_SECOND = 1000
 MISDIRECTED = 421
 
 CallWriter = Callable[[UpstreamCall, float], bytes]
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from jasmineramp import routing
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
 from jasmineramp.mesh.calls import (
@@ -65,7 +65,6 @@
 LAST_ADMISSION_MS = 3_200
 # The rest of the grace period is for the end of the process.
 USABLE_GRACE = 0.86
-MILLIS_PER_SECOND = 1000
 METRICS_PATH = b'/metrics'
 METRICS_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -1,17 +1,33 @@
-"""Run a call at another node and wait for its end."""
+"""Ask other nodes, and run calls there."""
 
 import asyncio
+from collections.abc import Callable
 
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.mesh.calls import CallEnd, UpstreamCall, not_run, unknown
 from jasmineramp.mesh.peer_links import LinkDownError, LinkLostError, PeerLink
-from jasmineramp.mesh.peer_messages import Ended, Run
+from jasmineramp.mesh.peer_messages import Ended, PeerFrame, Run
 from jasmineramp.mesh.waits import within
 from jasmineramp.refusals import RefusalCode
 
 # Time for the answer that the upstream gives at its own deadline.
 ANSWER_MARGIN_MS = 80
-MILLIS_PER_SECOND = 1000
+
+
+async def ask_peer(
+    link: PeerLink, frame_of: Callable[[int], PeerFrame], wait_s: float
+) -> PeerFrame | None:
+    """Return the reply to a frame, None if it is late or can't come."""
+    try:
+        stream, future = link.ask(frame_of)
+    except LinkDownError:
+        return None
+    try:
+        return await within(wait_s, future)
+    except (TimeoutError, LinkLostError):
+        link.forget(stream)
+        return None
 
 
 async def run_at_peer(
--- a/src/jasmineramp/mesh/quota_taker.py
+++ b/src/jasmineramp/mesh/quota_taker.py
@@ -4,15 +4,11 @@
 
 from jasmineramp.clock import Clock, Millis, later
 from jasmineramp.ids import NodeId
-from jasmineramp.mesh.peer_links import (
-    LinkDownError,
-    LinkLostError,
-    PeerLink,
-)
+from jasmineramp.mesh.peer_calls import ask_peer
+from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import QuotaTaken, TakeQuota
 from jasmineramp.mesh.quotas import LocalQuotas, OwnedQuotas, Owners
 from jasmineramp.mesh.route_table import RankedWorkspace
-from jasmineramp.mesh.waits import within
 from jasmineramp.table import WorkspaceRow
 
 # Many times the round trip between failure domains.
@@ -94,15 +90,7 @@
         link = self.links.get(owner)
         if link is None or not await link.ready():
             return None
-        try:
-            stream, future = link.ask(
-                lambda number: TakeQuota(number, row.name)
-            )
-        except LinkDownError:
-            return None
-        try:
-            frame = await within(REPLY_TIMEOUT_S, future)
-        except (TimeoutError, LinkLostError):
-            link.forget(stream)
-            return None
+        frame = await ask_peer(
+            link, lambda number: TakeQuota(number, row.name), REPLY_TIMEOUT_S
+        )
         return frame.wait_ms if isinstance(frame, QuotaTaken) else None
--- a/src/jasmineramp/mesh/quotas.py
+++ b/src/jasmineramp/mesh/quotas.py
@@ -10,13 +10,12 @@
 
 import msgspec
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Millis
 from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.table import WorkspaceRow
 
 # A new owner does not know what its predecessor granted.
 INITIAL_FILL = 0.1
-MILLIS_PER_SECOND = 1000
 
 
 class Bucket(msgspec.Struct, gc=False):
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory import (
@@ -22,7 +22,6 @@
 KEEP_EVERY_MS = 2_000
 # An upstream announces itself every 1.5 s; one write then serves for both.
 FIRST_ENTRY_WAIT_MS = 1_600
-MILLIS_PER_SECOND = 1000
 
 _encoder = msgspec.json.Encoder()
 
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -10,11 +10,11 @@
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.mesh.directory import Directory
 from jasmineramp.mesh.directory_watch import DirectoryWatch
-from jasmineramp.mesh.peer_links import LinkDownError, LinkLostError, PeerLink
+from jasmineramp.mesh.peer_calls import ask_peer
+from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import AskNews, News
 from jasmineramp.mesh.quotas import Owners
 from jasmineramp.mesh.table_watch import TableWatch
-from jasmineramp.mesh.waits import within
 
 # Many times the round trip within a failure domain.
 ASK_TIMEOUT_S = 0.25
@@ -92,8 +92,8 @@
         if not await link.ready():
             return False
         asked = self.clock.now()
-        news = await self._exchange(link)
-        if news is None or news.table_age_ms > LARGEST_AGE_MS:
+        news = await ask_peer(link, self._question, ASK_TIMEOUT_S)
+        if not isinstance(news, News) or news.table_age_ms > LARGEST_AGE_MS:
             return False
         # The proof is at least as recent as its age at the time of asking,
         # whatever the two clocks show.
@@ -106,20 +106,7 @@
         self.fed = self.clock.now()
         return True
 
-    async def _exchange(self, link: PeerLink) -> News | None:
-        try:
-            stream, future = link.ask(
-                lambda number: AskNews(
-                    number,
-                    self.table_watch.revision,
-                    self.directory_watch.revision,
-                )
-            )
-        except LinkDownError:
-            return None
-        try:
-            frame = await within(ASK_TIMEOUT_S, future)
-        except (TimeoutError, LinkLostError):
-            link.forget(stream)
-            return None
-        return frame if isinstance(frame, News) else None
+    def _question(self, stream: int) -> AskNews:
+        return AskNews(
+            stream, self.table_watch.revision, self.directory_watch.revision
+        )
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.freshness import Freshness
@@ -15,7 +15,6 @@
 INTERVAL_PART = 0.35
 # Nodes that ask the leader of their domain are that much later.
 ASK_INTERVAL_MS = 400
-MILLIS_PER_SECOND = 1000
 
 TableDecoder = Callable[[bytes, Revision], RouteTable]
 
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.calls import Answer, Headers, ResponseHead
 
 CONNECT_TIMEOUT_S = 0.5
@@ -15,7 +16,6 @@
 # Shorter than the idle timeout of upstreams.
 IDLE_MS = 4_000.0
 LARGEST_POOL = 256
-MILLIS_PER_SECOND = 1000
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS = frozenset((204, 304))
 
--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -22,7 +22,7 @@
 )
 from jasmineramp.call_runner import CallRunner
 from jasmineramp.claim_settings import ClaimSettings
-from jasmineramp.clock import Clock, Millis, MonotonicClock
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis, MonotonicClock
 from jasmineramp.configuration_state import ConfigurationState
 from jasmineramp.effects import CountRefusal, EventKind, RecordEvent
 from jasmineramp.events import MessageReceived
@@ -62,7 +62,6 @@
         EventKind.retry_decided,
     )
 )
-MILLIS_PER_SECOND = 1000
 # A caller on a kept-alive connection learns of the stop with a response.
 LINGER_MS = 1000
 # Loans end after 5 s; then the rate slot is given back.
--- a/src/jasmineramp/platform/headers.py
+++ b/src/jasmineramp/platform/headers.py
@@ -1,5 +1,6 @@
 """Translate the headers of requests and responses."""
 
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
@@ -22,7 +23,6 @@
 NOT_EXECUTED = b'x-jasmineramp-not-executed'
 INSTANCE = b'x-jasmineramp-instance-id'
 
-MILLIS_PER_SECOND = 1000
 _REQUEST_ID = REQUEST_ID.lower()
 _DEADLINE = DEADLINE.lower()
 _CREDENTIAL = CREDENTIAL.lower()
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -10,6 +10,7 @@
 import httptools
 import msgspec
 
+from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
 from jasmineramp.platform.wire_values import write_duration_ms
@@ -19,7 +20,6 @@
 ANSWER_TIMEOUT_S = 0.9
 WATCH_MARGIN_S = 1.0
 LARGEST_KEPT = 4
-MILLIS_PER_SECOND = 1000
 
 _OUTCOMES = {
     200: StoreOutcome.done,
--- a/src/jasmineramp/rate_buckets.py
+++ b/src/jasmineramp/rate_buckets.py
@@ -9,14 +9,13 @@
 
 import msgspec
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Millis
 from jasmineramp.ids import BucketId, NodeId, Revision
 from jasmineramp.table import Table, call_bucket, workspace_bucket
 
 # Largest difference of the rates of two clocks.
 DRIFT = 0.01
 TERM_MS = 5000.0
-MILLIS_PER_SECOND = 1000
 SMALLEST_BURST = 2
 NEVER = Millis(math.inf)
 # Sums of fractions of a share may miss a whole token by rounding; the
--- a/src/jasmineramp/rate_demand.py
+++ b/src/jasmineramp/rate_demand.py
@@ -5,13 +5,12 @@
 from collections import deque
 from collections.abc import Iterable
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Millis
 from jasmineramp.ids import NodeId
 from jasmineramp.rate_messages import Lender
 
 # A longer memory keeps lenders from lending for seconds after a shift.
 MEMORY_MS = 300
-MILLIS_PER_SECOND = 1000
 HEADROOM = 1.15
 # A demand below this many calls a second counts as none.
 LEAST_DEMAND = 0.02
--- a/src/jasmineramp/store_http.py
+++ b/src/jasmineramp/store_http.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-from jasmineramp.clock import Clock
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock
 from jasmineramp.store_budget import StoreBudget
 from jasmineramp.store_messages import (
     Get,
@@ -23,7 +23,6 @@
 
 _CONNECT_SECONDS = 1.0
 _READ_SECONDS = 2.0
-_MILLIS_PER_SECOND = 1000
 _POOL_SIZE = 8
 
 # Raised before the request is written, so the operation cannot take effect.
@@ -87,7 +86,7 @@
             headers[ROLE_HEADER] = role.value
         waiting: float = 0
         if isinstance(operation, Watch):
-            waiting = operation.wait_ms / _MILLIS_PER_SECOND
+            waiting = operation.wait_ms / MILLIS_PER_SECOND
         return self.pool.urlopen(
             'POST',
             RUN_PATH,
--- a/src/jasmineramp/upstreams.py
+++ b/src/jasmineramp/upstreams.py
@@ -14,7 +14,7 @@
 from urllib3.response import HTTPResponse as UpstreamAnswer
 
 from jasmineramp.call_messages import Attempt, AttemptKind, RunHere
-from jasmineramp.clock import Clock
+from jasmineramp.clock import MILLIS_PER_SECOND, Clock
 from jasmineramp.http_messages import Header, HttpRequest, HttpResponse
 from jasmineramp.ids import CallId
 
@@ -27,7 +27,6 @@
 # How often running calls are checked for their deadline and their caller.
 WATCH_SECONDS = 0.1
 
-_MILLIS_PER_SECOND = 1000
 _CONNECT_SECONDS = 1.0
 _LEAST_SECONDS = 0.001
 _SHED_STATUS = 503
@@ -123,7 +122,7 @@
     ) -> UpstreamResult:
         """Send a call and read its whole response before the deadline."""
         remaining = decision.deadline - self.clock.now()
-        seconds = remaining / _MILLIS_PER_SECOND
+        seconds = remaining / MILLIS_PER_SECOND
         if seconds < _LEAST_SECONDS:
             return UpstreamResult(Attempt(AttemptKind.unreachable))
         try:
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 
-HOST = '127.0.0.1'
+from tests.fakes.mesh import HOST
+
 ANSWER_TIMEOUT_S = 5
 
 
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -16,12 +16,11 @@
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.directory import PREFIX
-from tests.fakes.mesh import FakeUpstream, request
+from tests.fakes.mesh import HOST, FakeUpstream, request
 from tests.fakes.sockets import free_port
 from tests.soak.history import Arrival, History
 from tests.soak.proxy import Proxy
 
-HOST = '127.0.0.1'
 SOURCES = pathlib.Path(__file__).parents[2] / 'src'
 DRAIN_S = 2.0
 PORTS = ('outbound', 'inbound', 'ready', 'control', 'metrics')
