Decode a log line once

Cause: each line was decoded twice, once for its head and once for all fields; the command collected lines of several files by hand; the text of is_slow named another comparison than the code makes.

Change: one decode and a conversion, one pass over the files, a true sentence.

--- a/src/jasmineramp/explain_command.py
+++ b/src/jasmineramp/explain_command.py
@@ -15,7 +15,7 @@
     run_command,
     text,
 )
-from jasmineramp.log_story import LogLine, Story, read_lines, render_line, tell
+from jasmineramp.log_story import Story, read_lines, render_line, tell
 from jasmineramp.operator_client import ask_all, parse_nodes
 from jasmineramp.refusal_advice import advise
 from jasmineramp.refusal_counts import Reason, ReasonCount, RefusalSummary
@@ -84,13 +84,13 @@
     @text()
     def log(self, request_id: str, *files: str) -> Report:
         """Tell the story of a request from log files of several nodes."""
-        lines: list[LogLine] = []
-        unread = 0
-        for file in files:
-            content = pathlib.Path(file).read_text(encoding='utf-8')
-            found, other = read_lines(content.splitlines())
-            lines += found
-            unread += other
+        lines, unread = read_lines(
+            line
+            for file in files
+            for line in pathlib.Path(file)
+            .read_text(encoding='utf-8')
+            .splitlines()
+        )
         story = tell(request_id, lines, unread)
         told = _render_story(story, len(lines))
         return Report(told, story, DONE if story.lines else FAILED)
--- a/src/jasmineramp/log_story.py
+++ b/src/jasmineramp/log_story.py
@@ -102,8 +102,8 @@
 def _read_line(text: str) -> LogLine | None:
     content = text[max(0, text.find('{')) :]
     try:
-        line = msgspec.json.decode(content, type=LogLine)
         found = msgspec.json.decode(content)
+        line = msgspec.convert(found, LogLine)
     except msgspec.MsgspecError:
         return None
     fields = {name: each for name, each in found.items() if name not in _HEAD}
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -139,7 +139,7 @@
 
 
 def is_slow(home: Pool | None, others: list[Pool]) -> bool:
-    """Tell whether the own domain serves calls far slower than another."""
+    """Tell whether a slot at home serves far less than in other domains."""
     if home is None or not others:
         return False
     speeds = sorted(pool.speed() for pool in others)
