End the nodes of a soak that fails early

Cause: nodes were closed on the last lines of a run, so a run that raised before, such as one whose nodes never become ready, left them running; three processes of a trial had to be ended by id.

Change: an exit stack closes store and nodes however the run ends. TimeoutError is no longer named beside OSError, which includes it.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,10 +14,10 @@
 
 from bench.metadata_store import Fault
 
-from tests.fakes.mesh import CONFIGURATION, KEY
+from tests.fakes.mesh import CONFIGURATION, HOST, KEY
 from tests.soak.caller import ClosedError, KeptConnection
 from tests.soak.history import BURST, RATE, History
-from tests.soak.member import HOST, Member, RedirectingStore
+from tests.soak.member import Member, RedirectingStore
 from tests.soak.proxy import Mode
 
 APPLY_S = 2.0
@@ -33,7 +33,7 @@
 LIMITED = 'limited'
 LIMITED_KEY = 'key-of-limited'
 # What a caller sees of a node that is down, stopped or cut off.
-UNREACHED = (OSError, ClosedError, TimeoutError)
+UNREACHED = (OSError, ClosedError)
 
 
 def first_configuration() -> dict[str, object]:
@@ -68,10 +68,23 @@
 
     async def run(self) -> list[str]:
         """Run and return the broken promises."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.store.server.stop)
+            await self._drive(stack)
+        for member in self.members:
+            if b'"event":"fault"' in member.log.read_bytes():
+                self.history.wrong.append(f'node {member.number} logged faults')
+        # The connections of the proxies end before the event loop does.
+        await asyncio.sleep(0.3)
+        return self.history.judge(LIMITED)
+
+    async def _drive(self, stack: contextlib.ExitStack) -> None:
+        """Call and disturb nodes that the stack ends, whatever happens."""
         port = await self.store.listen(HOST, 0)
         self._configure(first_configuration())
         for member in self.members:
             await member.prepare(self.store, port, self.rng)
+            stack.callback(member.close)
             member.start()
         work = [
             asyncio.create_task(self._announce(each)) for each in self.members
@@ -95,14 +108,6 @@
             task.cancel()
         # Whatever still runs late must show before the history is judged.
         await asyncio.sleep(1)
-        for member in self.members:
-            member.close()
-            if b'"event":"fault"' in member.log.read_bytes():
-                self.history.wrong.append(f'node {member.number} logged faults')
-        self.store.server.stop()
-        # The connections of the proxies end before the event loop does.
-        await asyncio.sleep(0.3)
-        return self.history.judge(LIMITED)
 
     def _configure(self, configuration: dict[str, object]) -> None:
         self.store.write('op/config', json.dumps(configuration).encode())
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tests.soak.run import Soak
 
@@ -16,3 +17,13 @@
     def test_short_run(self) -> None:
         soak = Soak(SEED, SECONDS, NODES)
         self.assertEqual(asyncio.run(soak.run()), [])
+
+    def test_nodes_end_with_a_run_that_fails_early(self) -> None:
+        """A fleet that never becomes ready leaves no process behind."""
+        soak = Soak(SEED, SECONDS, NODES)
+        with (
+            mock.patch.object(soak, '_until_ready', side_effect=TimeoutError),
+            self.assertRaises(TimeoutError),
+        ):
+            asyncio.run(soak.run())
+        self.assertFalse(any(each.is_alive() for each in soak.members))
