Bound the bytes that a node receives

Cause: every reader of bytes from outside collected without a bound. A second fault was found while reading: the start of a response right behind a whole answer stayed in the parser of a kept connection, so the next answer could be read as a part of it.

Change: mesh/receive_limits.py holds the bounds for heads, bodies and all large bodies together, derived from the memory in the settings. Past a bound the connection is aborted, the call ends as "may have run", answer_cut and a counter name the bound. Large answers of known length wait for memory, large requests without memory are refused as not run. Frames between nodes shrink from 72 to 13 MiB. Bytes behind an answer or a reply of the store end their connection. Bodies that stop arriving and responses that are not read end at the idle timeout.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -9,12 +9,25 @@
 
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.calls import CallerRequest, Headers
+from jasmineramp.mesh.receive_limits import (
+    DEFAULT_MEMORY_BYTES,
+    MAX_BODY_BYTES,
+    RESERVATION_STEP_BYTES,
+    SMALL_BODY_BYTES,
+    Bound,
+    MessageBuffer,
+    ReceiveBudget,
+    Reservation,
+    limits_for,
+)
 from jasmineramp.mesh.route_table import CallerLimits
 
 # Requests that a caller may queue on one connection.
 MAX_PIPELINED_REQUESTS = 16
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# Sent while too little memory is free for a large body.
+_RETRY_AFTER = (b'Retry-After', b'0.5')
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
@@ -58,10 +71,16 @@
     """Accept the connections of one listening address."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], CallerLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.budget = budget or ReceiveBudget(
+            limits_for(DEFAULT_MEMORY_BYTES).total_bytes
+        )
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.open_requests = OpenRequests()
@@ -114,14 +133,16 @@
         self.is_closed = False
         self.is_rejected = False
         self.timeout_started = self.loop.time()
+        self.buffer = MessageBuffer(MAX_BODY_BYTES)
+        self.reservation = Reservation(server.budget)
+        # Bodies of the queued requests and the one in progress.
+        self.queued_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
         self.target = b''
         self.headers: Headers = []
         self.header_bytes = 0
-        self.body: list[bytes] = []
-        self.body_bytes = 0
         self.is_reading_head = False
         self.is_reading_body = False
 
@@ -134,6 +155,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._abandon()
+        self.reservation.release()
         # Breaks the reference cycle with the parser, so that the connection is
         # freed without the garbage collector; most serve only one request.
         del self.parser
@@ -147,7 +169,10 @@
         """Feed the parser; reject malformed and oversized requests."""
         if self.is_rejected:
             return
-        if not self.is_reading_body:
+        if self.is_reading_body:
+            self.buffer.received_bytes += len(data)
+            self.timeout_started = self.loop.time()
+        else:
             self.header_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -155,12 +180,17 @@
             self._reject(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
-        if self.is_reading_head or self.is_reading_body or self.body_bytes:
+        if (
+            self.is_reading_head
+            or self.is_reading_body
+            or self.buffer.body_bytes
+        ):
             self._check_limits(self.server.limits())
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reset()
+        self.buffer.start_exchange()
         self.is_reading_head = True
         self.timeout_started = self.loop.time()
 
@@ -186,8 +216,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
-        self.body.append(body)
-        self.body_bytes += len(body)
+        self.buffer.add_body(body)
 
     def on_message_complete(self) -> None:
         """Queue the request behind earlier ones of the connection."""
@@ -200,9 +229,9 @@
             self.parser.get_method(),
             self.target,
             self.headers,
-            b''.join(self.body),
+            self.buffer.take_body(),
         )
-        self.body = []
+        self.queued_bytes += len(request.body)
         self.queue.append((request, self.parser.should_keep_alive()))
         if self.task is None:
             self._start_next()
@@ -216,22 +245,41 @@
         return self.is_reading_head or self.is_reading_body
 
     def expire(self, now: float, limits: CallerLimits) -> None:
-        """Close the connection at the idle or the header timeout."""
-        if self.task is not None or self.is_reading_body:
+        """Close the connection at the idle or the header timeout.
+
+        The idle timeout also applies between the pieces of a body and to a
+        response that the caller does not read.
+        """
+        if self.task is not None:
             return
         limit_ms = (
             limits.header_timeout_ms
             if self.is_reading_head
             else limits.idle_timeout_ms
         )
-        if (now - self.timeout_started) * MILLIS_PER_SECOND > limit_ms:
+        if (now - self.timeout_started) * MILLIS_PER_SECOND <= limit_ms:
+            return
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+        else:
             self.transport.close()
 
     def _check_limits(self, limits: CallerLimits) -> None:
+        buffer = self.buffer
         if self.is_reading_head and self.header_bytes > limits.max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        if self.body_bytes > limits.max_body_bytes:
+        excess = buffer.find_excess()
+        if excess is not None and excess.bound is Bound.head:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if excess is not None or buffer.body_bytes > limits.max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        size = self.queued_bytes + buffer.body_bytes
+        if (
+            self.is_reading_body
+            and size > max(SMALL_BODY_BYTES, self.reservation.size)
+            and not self.reservation.try_resize(size + RESERVATION_STEP_BYTES)
+        ):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _start_next(self) -> None:
         request, keep_alive = self.queue.popleft()
@@ -242,6 +290,9 @@
             response = await self.server.handler(request)
         self.task = None
         self.timeout_started = self.loop.time()
+        self.queued_bytes -= len(request.body)
+        if not self.queued_bytes and not self.is_reading_body:
+            self.reservation.release()
         if self.is_closed:
             return
         keep_alive = keep_alive and not self.server.is_draining
@@ -270,7 +321,10 @@
             return
         self.is_rejected = True
         if self.task is None:
-            self._write(CallerResponse(status, []), False, head_only=False)
+            response = CallerResponse(status, [])
+            if status is HTTPStatus.SERVICE_UNAVAILABLE:
+                response.headers.append(_RETRY_AFTER)
+            self._write(response, False, head_only=False)
         self.transport.close()
 
     def _abandon(self) -> None:
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -28,6 +28,7 @@
     MAX_IDLE_ONCE_MS,
     BrokenExchangeError,
     ConnectError,
+    OversizedAnswerError,
     StaleConnectionError,
     UpstreamConnection,
     UpstreamPool,
@@ -241,14 +242,28 @@
                     RefusalCode.upstream_lost, str(error)
                 )
         except BrokenExchangeError as error:
-            return run_unknown_failure(RefusalCode.upstream_lost, str(error))
+            return self._fail_exchange(call, error)
         try:
             fresh = await self.pool.connect()
             return await self._exchange(fresh, call, deadline)
         except ConnectError as error:
             return run_unknown_failure(RefusalCode.upstream_lost, str(error))
         except (StaleConnectionError, BrokenExchangeError) as error:
-            return run_unknown_failure(RefusalCode.upstream_lost, str(error))
+            return self._fail_exchange(call, error)
+
+    def _fail_exchange(self, call: UpstreamCall, error: Exception) -> Failure:
+        if isinstance(error, OversizedAnswerError):
+            excess = error.excess
+            self.metrics.cut_answers[excess.bound.value] += 1
+            self.log.write(
+                'answer_cut',
+                request=call.request_id,
+                instance=call.instance,
+                bound=excess.bound.value,
+                figure=excess.figure,
+                limit=excess.limit,
+            )
+        return run_unknown_failure(RefusalCode.upstream_lost, str(error))
 
     async def _connection(self, call: UpstreamCall) -> UpstreamConnection:
         limit_ms = MAX_IDLE_MS if call.is_idempotent else MAX_IDLE_ONCE_MS
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -59,6 +59,11 @@
             metrics.failures_by_code,
         ),
         ('repeats', 'Retries by target service.', metrics.repeats),
+        (
+            'answers_cut',
+            'Responses cut off by exceeded bound.',
+            metrics.cut_answers,
+        ),
     ):
         family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
         for label, count in counter.items():
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -40,6 +40,7 @@
 )
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
+from jasmineramp.mesh.receive_limits import ReceiveBudget, limits_for
 from jasmineramp.mesh.relay import Relay
 from jasmineramp.mesh.retry_budget import RetryBudget
 from jasmineramp.mesh.route_table import (
@@ -94,9 +95,17 @@
         self.record = UpstreamRecord()
         self.metrics = NodeMetrics()
         self.loop_lag_ms = float(0)
+        self.receive_limits = limits_for(settings.memory_bytes)
+        self.receive_budget = ReceiveBudget(self.receive_limits.total_bytes)
+        self.caller_limits = self._bound_by_memory(CallerLimits())
         self.gate = InstanceGate(
             self.record,
-            UpstreamPool(*settings.upstream, platform.read_response),
+            UpstreamPool(
+                *settings.upstream,
+                platform.read_response,
+                self.receive_limits,
+                self.receive_budget,
+            ),
             platform.write_call,
             metrics=self.metrics,
             log=log,
@@ -157,7 +166,7 @@
         self.table_watch.ask_leader = self.relay.ask
         self.directory_watch.is_leader_replying = self.relay.is_leader_replying
         self.caller_server = CallerServer(
-            self.entry.handle, self._caller_limits
+            self.entry.handle, self._caller_limits, self.receive_budget
         )
         self.announcement_server = CallerServer(
             self.local_upstream.handle_announcement, self._caller_limits
@@ -313,12 +322,16 @@
         )
 
     def _caller_limits(self) -> CallerLimits:
-        table = self.entry.table
-        return CallerLimits() if table is None else table.limits
+        return self.caller_limits
 
     def _apply_table(self, table: RouteTable) -> None:
         self.entry.table = table
         self.entry.responder.version = table.version
+        self.caller_limits = self._bound_by_memory(table.limits)
+
+    def _bound_by_memory(self, limits: CallerLimits) -> CallerLimits:
+        body_bytes = min(limits.max_body_bytes, self.receive_limits.body_bytes)
+        return msgspec.structs.replace(limits, max_body_bytes=body_bytes)
 
     async def _check_readiness(self, request: CallerRequest) -> CallerResponse:
         if not self.platform.is_readiness_check(request):
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -63,6 +63,7 @@
         self.calls: Counter[tuple[RowName, str]] = Counter()
         self.failures_by_code: Counter[str] = Counter()
         self.repeats: Counter[str] = Counter()
+        self.cut_answers: Counter[str] = Counter()
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/mesh/node_settings.py
+++ b/src/jasmineramp/mesh/node_settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jasmineramp.ids import DomainId, NodeId, ServiceName
+from jasmineramp.mesh.receive_limits import DEFAULT_MEMORY_BYTES, MEBIBYTE
 
 Address = tuple[str, int]
 
@@ -30,6 +31,8 @@
 
     Callers and the upstream of this VM send calls to `outbound`, peers
     connect to `inbound`, the upstream sends its announcements to `control`.
+    `memory_bytes` is what the process may use, `store_value_bytes` the
+    largest value in the store.
     """
 
     node: NodeId
@@ -45,3 +48,5 @@
     heartbeat_ms: float
     least_ttl_ms: float
     bounds: Bounds
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    store_value_bytes: int = MEBIBYTE
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -6,12 +6,13 @@
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
+from jasmineramp.mesh.receive_limits import MAX_BODY_BYTES, MEBIBYTE
 from jasmineramp.mesh.store import StoreItem
 
 PROTOCOL_VERSION = 1
 LENGTH_PREFIX_BYTES = 4
-# Fits the largest request body that callers may send, plus its headers.
-MAX_FRAME_BYTES = 72 * 1024 * 1024
+# Fits the largest body, plus its headers.
+MAX_FRAME_BYTES = MAX_BODY_BYTES + MEBIBYTE
 
 
 class Frame(msgspec.Struct, array_like=True, gc=False):
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -9,6 +9,16 @@
 
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.calls import Answer, Headers, ResponseHead
+from jasmineramp.mesh.receive_limits import (
+    RESERVATION_STEP_BYTES,
+    SMALL_BODY_BYTES,
+    Bound,
+    Excess,
+    MessageBuffer,
+    ReceiveBudget,
+    ReceiveLimits,
+    Reservation,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 # Idle limit for calls that are not idempotent. An upstream may close an idle
@@ -17,7 +27,8 @@
 # Shorter than the idle timeout of upstreams.
 MAX_IDLE_MS = 4_000.0
 MAX_IDLE_CONNECTIONS = 256
-_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+_CONTENT_LENGTH = b'content-length'
+_FRAMING_HEADERS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((204, 304))
 
 ResponseHeadReader = Callable[[Headers], ResponseHead]
@@ -35,6 +46,14 @@
     """Report that a call was sent but got no usable response."""
 
 
+class OversizedAnswerError(BrokenExchangeError):
+    """Report that a response was cut off because it exceeds a bound."""
+
+    def __init__(self, excess: Excess) -> None:
+        super().__init__(f'response was cut off: {excess}')
+        self.excess = excess
+
+
 class Exchange:
     """Hold one call whose response is pending on a connection."""
 
@@ -63,12 +82,14 @@
         self.keep_alive = True
         self.idle_since = float('-inf')
         self.idle_limit_ms = MAX_IDLE_MS
+        self.buffer = MessageBuffer(pool.max_body_bytes)
+        self.reservation = Reservation(pool.budget)
+        self.has_surplus = False
         self._reset()
 
     def _reset(self) -> None:
         self.reason = b''
         self.headers: Headers = []
-        self.body: list[bytes] = []
         self.has_head = False
         self.has_framing = False
         self.has_received = False
@@ -85,6 +106,7 @@
         loop = asyncio.get_running_loop()
         self.exchange = Exchange(request_id, head_only, loop.create_future())
         self.has_received = False
+        self.buffer.start_exchange()
         self.transport.write(data)
         return self.exchange.future
 
@@ -94,10 +116,17 @@
             self.close()
             return
         self.has_received = True
+        self.buffer.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(BrokenExchangeError('malformed response'))
+            return
+        if self.exchange is not None:
+            self._check_limits()
+        elif self.has_surplus:
+            # Bytes behind the response would count as the start of the next.
+            self.close()
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the connection's end."""
@@ -110,6 +139,7 @@
         """Fail the call whose response is pending."""
         self.is_open = False
         self.pool.discard(self)
+        self.reservation.release()
         if self.exchange is None:
             return
         if self.is_reused and not self.has_received:
@@ -119,7 +149,10 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        if self.exchange is None:
+            self.has_surplus = True
         self._reset()
+        self.buffer.start_message()
         self.has_received = True
 
     def on_status(self, status: bytes) -> None:
@@ -131,6 +164,9 @@
         lower_name = name.lower()
         if lower_name in _FRAMING_HEADERS:
             self.has_framing = True
+            if lower_name == _CONTENT_LENGTH:
+                # The parser rejects a length that is not a number.
+                self.buffer.content_length = int(value)
         elif lower_name == b'keep-alive':
             server_limit_ms = _keep_alive_ms(value)
             self.idle_limit_ms = min(self.idle_limit_ms, server_limit_ms)
@@ -145,7 +181,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
-        self.body.append(body)
+        self.buffer.add_body(body)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is informational (1xx)."""
@@ -163,8 +199,43 @@
         self.keep_alive = False
         self.is_open = False
         self.exchange = None
+        self.reservation.release()
         self.transport.abort()
 
+    def _check_limits(self) -> None:
+        """Cut off or pause a response that takes too much memory."""
+        buffer = self.buffer
+        excess = buffer.find_excess()
+        if excess is not None:
+            self._fail(OversizedAnswerError(excess))
+            return
+        if buffer.body_bytes <= max(SMALL_BODY_BYTES, self.reservation.size):
+            return
+        length = buffer.content_length
+        size = length or buffer.body_bytes + RESERVATION_STEP_BYTES
+        if self.reservation.try_resize(size):
+            return
+        budget = self.pool.budget
+        if length is None:
+            # Responses that wait with part of their memory could wait for
+            # each other.
+            self._fail(
+                OversizedAnswerError(
+                    Excess(
+                        Bound.memory,
+                        budget.used_bytes + size,
+                        budget.total_bytes,
+                    )
+                )
+            )
+            return
+        self.transport.pause_reading()
+        self.reservation.wait(size, self._resume)
+
+    def _resume(self) -> None:
+        if self.is_open:
+            self.transport.resume_reading()
+
     def _complete(self) -> None:
         exchange = self.exchange
         if exchange is None:
@@ -178,11 +249,12 @@
             # A late duplicate response to an earlier call.
             return
         self.exchange = None
+        self.reservation.release()
         if self.transport.get_write_buffer_size():
             # The response came before the whole call was sent.
             self.keep_alive = False
         answer = Answer(
-            self.status, self.reason, self.headers, b''.join(self.body)
+            self.status, self.reason, self.headers, self.buffer.take_body()
         )
         if not exchange.future.done():
             exchange.future.set_result((answer, head))
@@ -199,11 +271,18 @@
     """Pool the connections to the upstream at one address."""
 
     def __init__(
-        self, host: str, port: int, read_head: ResponseHeadReader
+        self,
+        host: str,
+        port: int,
+        read_head: ResponseHeadReader,
+        limits: ReceiveLimits,
+        budget: ReceiveBudget,
     ) -> None:
         self.host = host
         self.port = port
         self.read_head = read_head
+        self.max_body_bytes = limits.body_bytes
+        self.budget = budget
         self.idle: deque[UpstreamConnection] = deque()
         self.is_closed = False
         self.opened_count = 0
--- a/src/jasmineramp/platform/__main__.py
+++ b/src/jasmineramp/platform/__main__.py
@@ -65,7 +65,7 @@
     loop = asyncio.get_running_loop()
     node = Node(
         settings,
-        StoreClient(*settings.store),
+        StoreClient(*settings.store, settings.store_value_bytes),
         PlatformBinding(),
         DecisionLog(settings.node),
         BootClock(),
--- a/src/jasmineramp/platform/settings.py
+++ b/src/jasmineramp/platform/settings.py
@@ -6,6 +6,7 @@
 from jasmineramp.exceptions import SettingsError
 from jasmineramp.ids import DomainId, NodeId, ServiceName
 from jasmineramp.mesh.node_settings import Bounds, NodeSettings
+from jasmineramp.mesh.receive_limits import DEFAULT_MEMORY_BYTES, MEBIBYTE
 from jasmineramp.platform.wire_values import read_duration_ms
 
 PATH_VARIABLE = 'JASMINERAMP_BOOT'
@@ -45,6 +46,12 @@
             fields, 'platform.platform.ttlMin', 1000
         ),
         bounds=_read_bounds(fields),
+        memory_bytes=_read_size(
+            fields, 'self.limits.memoryMb', DEFAULT_MEMORY_BYTES, MEBIBYTE
+        ),
+        store_value_bytes=_read_size(
+            fields, 'platform.platform.valueBytes', MEBIBYTE
+        ),
         **addresses,
     )
 
@@ -130,3 +137,13 @@
         raise SettingsError(
             name, f'{value!r} is not a number', _REMEDY
         ) from None
+
+
+def _read_size(
+    fields: Mapping[str, str], name: str, default_bytes: int, unit: int = 1
+) -> int:
+    """Return a positive size in bytes; `unit` is that of the field."""
+    size = int(_read_number(fields, name, default_bytes / unit) * unit)
+    if size <= 0:
+        raise SettingsError(name, f'{fields[name]!r} is not positive', _REMEDY)
+    return size
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -12,6 +12,11 @@
 
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.ids import Revision
+from jasmineramp.mesh.receive_limits import (
+    MEBIBYTE,
+    STORE_REPLY_VALUES,
+    MessageBuffer,
+)
 from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
 from jasmineramp.platform.wire_values import write_duration_ms
 
@@ -69,10 +74,10 @@
 class _StoreConnection(asyncio.Protocol):
     """Exchange one call at a time on a connection to the store."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_reply_bytes: int) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.future: asyncio.Future[tuple[int, bytes]] | None = None
-        self.body: list[bytes] = []
+        self.buffer = MessageBuffer(max_reply_bytes)
         self.is_open = False
         self.keep_alive = True
 
@@ -89,27 +94,53 @@
                 _AnswerLostError(f'connection lost: {exc}')
             )
 
+    def send(self, data: bytes) -> 'asyncio.Future[tuple[int, bytes]]':
+        """Send a call; return the future of status and body."""
+        self.future = asyncio.get_running_loop().create_future()
+        self.buffer.start_exchange()
+        self.transport.write(data)
+        return self.future
+
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; abort the connection on a malformed response."""
+        """Feed the parser; abort on a malformed or oversized response."""
+        if self.future is None or self.future.done():
+            self._abort('unsolicited bytes')
+            return
+        self.buffer.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.transport.abort()
+            self._abort('malformed response')
+            return
+        excess = self.buffer.find_excess()
+        if excess is not None:
+            self._abort(f'response was cut off: {excess}')
 
     def on_message_begin(self) -> None:
-        """Start a response."""
-        self.body = []
+        """Start a response; one without a call ends the connection."""
+        if self.future is None or self.future.done():
+            self.keep_alive = False
+            self.transport.abort()
+        self.buffer.start_message()
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
-        self.body.append(body)
+        self.buffer.add_body(body)
 
     def on_message_complete(self) -> None:
-        """Complete the call with its response."""
+        """Complete the call, unless the response is informational (1xx)."""
+        status = self.parser.get_status_code()
+        if status < 200:  # noqa: PLR2004
+            return
         self.keep_alive = self.parser.should_keep_alive()
         if self.future is not None and not self.future.done():
-            status = self.parser.get_status_code()
-            self.future.set_result((status, b''.join(self.body)))
+            self.future.set_result((status, self.buffer.take_body()))
+
+    def _abort(self, reason: str) -> None:
+        self.keep_alive = False
+        self.transport.abort()
+        if self.future is not None and not self.future.done():
+            self.future.set_exception(_AnswerLostError(reason))
 
 
 class StoreClient:
@@ -118,9 +149,12 @@
     `counts` holds the number of calls by kind and outcome.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self, host: str, port: int, value_bytes: int = MEBIBYTE
+    ) -> None:
         self.host = host
         self.port = port
+        self.max_reply_bytes = STORE_REPLY_VALUES * value_bytes
         self.idle: list[_StoreConnection] = []
         self.counts: Counter[tuple[str, str]] = Counter()
 
@@ -246,11 +280,10 @@
             f'Content-Type: application/json\r\n'
             f'Content-Length: {len(content)}\r\n\r\n'
         )
-        connection.future = asyncio.get_running_loop().create_future()
-        connection.transport.write(head.encode() + content)
+        reply = connection.send(head.encode() + content)
         try:
             async with asyncio.timeout(timeout_s):
-                status, answer = await connection.future
+                status, answer = await reply
         except TimeoutError:
             # The answer may still arrive, so the connection can't be reused.
             connection.transport.abort()
@@ -276,7 +309,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    _StoreConnection, self.host, self.port
+                    lambda: _StoreConnection(self.max_reply_bytes),
+                    self.host,
+                    self.port,
                 )
         except (OSError, TimeoutError) as error:
             raise _NotSentError(f'cannot connect: {error!r}') from None
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -16,6 +16,7 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.node import Node
 from jasmineramp.mesh.node_settings import Bounds, NodeSettings
+from jasmineramp.mesh.receive_limits import DEFAULT_MEMORY_BYTES
 from jasmineramp.mesh.route_table import CallerLimits
 from jasmineramp.platform.binding import PlatformBinding
 from jasmineramp.platform.store_client import StoreClient
@@ -129,7 +130,8 @@
 class Fleet:
     """Run a store and nodes, each with an upstream."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+        self.memory_bytes = memory_bytes
         self.store = MetadataStore()
         self.nodes: list[Node] = []
         self.upstreams: list[FakeUpstream] = []
@@ -256,6 +258,7 @@
             1500,
             1000,
             Bounds(),
+            self.memory_bytes,
         )
 
 
--- a/tests/mesh/test_caller_http.py
+++ b/tests/mesh/test_caller_http.py
@@ -7,6 +7,7 @@
 
 from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
 from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.receive_limits import MEBIBYTE, ReceiveBudget
 from jasmineramp.mesh.route_table import CallerLimits
 
 HOST = '127.0.0.1'
@@ -45,3 +46,95 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(len(connection_refs), 3)
         server.stop()
+
+
+class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Test callers that send without end."""
+
+    async def asyncSetUp(self) -> None:
+        self.handled: list[CallerRequest] = []
+        self.limits = CallerLimits(max_body_bytes=MEBIBYTE)
+        self.budget = ReceiveBudget(4 * MEBIBYTE)
+        self.server = CallerServer(
+            self.handle, lambda: self.limits, self.budget
+        )
+        await self.server.listen(HOST, 0)
+        assert self.server.server is not None
+        self.port = self.server.server.sockets[0].getsockname()[1]
+        self.addCleanup(self.server.stop)
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Answer with the length of the body."""
+        self.handled.append(request)
+        return CallerResponse(200, [], b'%d' % len(request.body))
+
+    async def send(self, start: bytes, piece: bytes, pieces: int) -> bytes:
+        """Send pieces until the server closes; return its response."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(b'POST / HTTP/1.1\r\nHost: a\r\n' + start)
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                for _ in range(pieces):
+                    writer.write(piece)
+                    await writer.drain()
+                return await reader.readuntil(b'\r\n\r\n')
+        except (OSError, asyncio.IncompleteReadError):
+            return b''
+        finally:
+            writer.transport.abort()
+
+    async def test_endless_requests_are_cut(self) -> None:
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+        filler = b'x' * 65_536
+        for name, start, piece in (
+            ('header lines', b'', b'X: 0123456789\r\n' * 4096),
+            ('trailers', chunked + b'0\r\n', b'X: 0123456789\r\n' * 4096),
+            ('chunk extension', chunked, b'1;x=' + filler),
+            ('chunks', chunked, b'10000\r\n' + filler + b'\r\n'),
+            ('body', b'Content-Length: 999999999\r\n\r\n', filler),
+        ):
+            with self.subTest(name):
+                response = await self.send(start, piece, 4096)
+                self.assertNotIn(b' 200 ', response)
+                self.assertEqual(self.handled, [])
+                async with asyncio.timeout(DEADLINE_S):
+                    while self.server.connections:
+                        await asyncio.sleep(0.01)
+                self.assertEqual(self.budget.used_bytes, 0)
+
+    async def test_large_body_without_memory_is_refused_as_not_run(
+        self,
+    ) -> None:
+        self.budget.try_reserve(self.budget.total_bytes)
+        start = b'Content-Length: 200000\r\n\r\n'
+        response = await self.send(start, b'x' * 100_000, 2)
+        self.assertIn(b' 503 ', response)
+        self.assertIn(b'Retry-After', response)
+        self.assertEqual(self.handled, [])
+        start = b'Content-Length: 1000\r\n\r\n'
+        self.assertIn(b' 200 ', await self.send(start, b'x' * 1000, 1))
+        self.budget.release(self.budget.total_bytes)
+        start = b'Content-Length: 200000\r\n\r\n'
+        self.assertIn(b' 200 ', await self.send(start, b'x' * 100_000, 2))
+        self.assertEqual(self.budget.used_bytes, 0)
+
+    async def test_body_that_stops_arriving_is_cut(self) -> None:
+        """The idle timeout counts from the last piece of the body."""
+        _, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nxx')
+        async with asyncio.timeout(DEADLINE_S):
+            while not any(
+                connection.is_reading_body
+                for connection in self.server.connections
+            ):
+                await asyncio.sleep(0.01)
+        now = asyncio.get_running_loop().time()
+        idle_s = self.limits.idle_timeout_ms / 1000
+        self.server.expire(now + idle_s - 1)
+        await asyncio.sleep(0)
+        self.assertEqual(len(self.server.connections), 1)
+        self.server.expire(now + idle_s + 1)
+        async with asyncio.timeout(DEADLINE_S):
+            while self.server.connections:
+                await asyncio.sleep(0.01)
+        writer.close()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,8 @@
 platform.platform.address=10.200.1.7:8545
 terms.bounds.revoke=5s
 terms.bounds.retryBudgetRatio=0.2
+self.limits.memoryMb=300
+platform.platform.valueBytes=524288
 unknown.field=1
 """
 
@@ -31,6 +33,8 @@
         self.assertEqual(settings.outbound, ('10.1.0.26', 8548))
         self.assertEqual(settings.bounds.revoke_ms, 5000)
         self.assertEqual(settings.bounds.drain_ms, 2000)
+        self.assertEqual(settings.memory_bytes, 300 * 1024 * 1024)
+        self.assertEqual(settings.store_value_bytes, 524_288)
 
     def test_missing_fields_are_named(self) -> None:
         for line, place in (
@@ -44,3 +48,11 @@
     def test_unknown_unit_is_rejected(self) -> None:
         with self.assertRaises(SettingsError):
             decode_settings(LINES.replace('revoke=5s', 'revoke=5m'))
+
+    def test_sizes_must_be_positive(self) -> None:
+        for value in ('0', '-5', 'much'):
+            with self.assertRaises(SettingsError) as context:
+                decode_settings(
+                    LINES.replace('memoryMb=300', f'memoryMb={value}')
+                )
+            self.assertEqual(context.exception.place, 'self.limits.memoryMb')
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,6 @@
 """Test that a lost answer to a write is not reported as a failed write."""
 
+import time
 import unittest
 import unittest.mock
 
@@ -8,7 +9,13 @@
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.store import StoreOutcome
 from jasmineramp.platform import store_client
-from jasmineramp.platform.store_client import StoreClient
+from jasmineramp.platform.store_client import ANSWER_TIMEOUT_S, StoreClient
+from tests.fakes.endless import (
+    BODY_NAMES,
+    ENDLESS,
+    HEAD_NAMES,
+    EndlessServer,
+)
 
 HOST = '127.0.0.1'
 
@@ -82,3 +89,38 @@
         self.store.server.stop()
         reply = await self.client.get('a/1')
         self.assertIs(reply.outcome, StoreOutcome.not_done)
+
+
+class EndlessReplyTest(unittest.IsolatedAsyncioTestCase):
+    """Test replies of the store that never end."""
+
+    async def test_reply_is_cut_long_before_the_timeout(self) -> None:
+        """A read counts as not done, a write as unknown."""
+        for name, (start, piece) in ENDLESS.items():
+            with self.subTest(name):
+                server = EndlessServer(start, piece)
+                client = StoreClient(HOST, await server.listen(), 100_000)
+                started = time.monotonic()
+                read = await client.get('k')
+                written = await client.put('k', b'v', Revision(0), 0)
+                self.assertLess(
+                    time.monotonic() - started, 2 * ANSWER_TIMEOUT_S
+                )
+                self.assertIs(read.outcome, StoreOutcome.not_done)
+                self.assertIs(written.outcome, StoreOutcome.unknown)
+                self.assertEqual(client.idle, [])
+                if name in BODY_NAMES:
+                    self.assertIn('body of', read.detail)
+                elif name in HEAD_NAMES:
+                    self.assertIn('head of', read.detail)
+                server.close()
+
+    async def test_bytes_behind_a_reply_never_start_the_next_one(self) -> None:
+        whole = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
+        server = EndlessServer(whole + b'HTTP/1.1 200 OK\r\nX: ', b'')
+        client = StoreClient(HOST, await server.listen())
+        for _ in range(2):
+            reply = await client.get('k')
+            self.assertIs(reply.outcome, StoreOutcome.missing)
+        self.assertEqual(len(server.heads), 2)
+        server.close()
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -23,7 +23,10 @@
     async def call(
         self, method: str, target: str, headers: dict[str, str]
     ) -> tuple[int, bytes]:
-        """Return status and body; raise ClosedError or OSError."""
+        """Return status and body.
+
+        Raise OSError if the request was not sent, else ClosedError.
+        """
         if self.writer is None or self.reader is None:
             self.reader, self.writer = await asyncio.open_connection(
                 HOST, self.port
@@ -35,9 +38,11 @@
             self.writer.write('\r\n'.join(lines).encode())
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await self._read(self.reader)
-        except (OSError, ClosedError, TimeoutError):
+        except (OSError, ClosedError) as error:
+            # The request was sent, so its answer is lost: timeouts and resets
+            # count like an orderly end.
             self.close()
-            raise
+            raise ClosedError(repr(error)) from None
 
     def close(self) -> None:
         """Close the connection; the next call opens another one."""
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -23,6 +23,8 @@
 
 SOURCES = pathlib.Path(__file__).parents[2] / 'src'
 DRAIN_S = 2.0
+# Bounds the bodies that a node receives.
+MEMORY_MIB = 100
 PORTS = ('outbound', 'inbound', 'ready', 'control', 'metrics')
 
 
@@ -81,6 +83,7 @@
             f'self.node=n{self.number}',
             f'self.zone=z{self.number % 2}',
             'self.service=orders',
+            f'self.limits.memoryMb={MEMORY_MIB}',
             f'self.appAddr={HOST}:{self.upstream_port}',
             f'platform.platform.address={HOST}:{store}',
             f'network.internalPortRange={self.ports["metrics"]}',
@@ -125,6 +128,16 @@
         """Tell whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
+    def peak_mib(self) -> float:
+        """Return the peak of the resident memory of the running process."""
+        if self.process is None or not self.is_alive():
+            return 0
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text(
+            encoding='utf-8'
+        )
+        peak = re.search(r'VmHWM:\s+(\d+) kB', status)
+        return 0 if peak is None else int(peak[1]) / 1024
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.is_alive():
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,9 @@
 
 CHUNK_BYTES = 65_536
 DELAY_S = 0.2
+# The start of an answer whose body never ends, or of a frame too large.
+FLOOD_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+FLOOD_PIECE = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
 
 
 class Mode(enum.Enum):
@@ -15,6 +18,7 @@
     refuse = 'refuse'
     silence = 'silence'
     answers_lost = 'answers_lost'
+    flood = 'flood'
 
 
 class Proxy:
@@ -71,9 +75,19 @@
                 if self.mode is Mode.delay:
                     await asyncio.sleep(DELAY_S)
                 is_lost = self.mode is Mode.answers_lost and is_answer
+                if self.mode is Mode.flood and is_answer:
+                    await self._flood(writer)
+                    break
                 if self.mode is not Mode.silence and not is_lost:
                     writer.write(data)
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         writer.close()
+
+    async def _flood(self, writer: asyncio.StreamWriter) -> None:
+        """Send without end until the reader or the disturbance ends."""
+        writer.write(FLOOD_HEAD)
+        while self.mode is Mode.flood and not writer.is_closing():
+            writer.write(FLOOD_PIECE)
+            await writer.drain()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,7 +17,7 @@
 from tests.fakes.mesh import CONFIGURATION, HOST, KEY
 from tests.soak.caller import ClosedError, KeptConnection
 from tests.soak.history import BURST, RATE, History
-from tests.soak.member import Member, RedirectingStore
+from tests.soak.member import MEMORY_MIB, Member, RedirectingStore
 from tests.soak.proxy import Mode
 
 APPLY_S = 2.0
@@ -108,6 +108,11 @@
             task.cancel()
         # Whatever still runs late must show before the history is judged.
         await asyncio.sleep(1)
+        for member in self.members:
+            if member.peak_mib() > MEMORY_MIB:
+                self.history.wrong.append(
+                    f'node {member.number} grew to {member.peak_mib():.0f} MiB'
+                )
 
     def _configure(self, configuration: dict[str, object]) -> None:
         self.store.write('op/config', json.dumps(configuration).encode())
@@ -233,7 +238,7 @@
                 await self._send(connection, path, request_id, KEY)
             except OSError:
                 await asyncio.sleep(0.1)
-            except (ClosedError, TimeoutError):
+            except ClosedError:
                 self.history.unanswered.add(request_id)
             await asyncio.sleep(0.005)
         connection.close()
