Read the kind download

Change: download is idempotent, and its answers are large: like calls with large bodies they stay in the failure domain where it has room. A configuration with an unknown kind is rejected by row, value and remedy; the last table stays in force. jasmineramp-check prints the new field has_large_answers.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -59,9 +59,8 @@
 INSTANCE_WAIT_MS = 200
 INSTANCE_POLL_INTERVAL_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
-# Calls with a larger body count as large in routing, which prefers instances in
-# the local failure domain for them: traffic between domains is billed by the
-# byte. The bodies of most calls are far smaller.
+# Calls with a larger body, like those with large answers, prefer instances in
+# the local failure domain: traffic between domains is billed by the byte.
 LARGE_BODY_BYTES = 16_384
 
 _encoder = msgspec.json.Encoder()
@@ -299,7 +298,8 @@
                 admitted.service,
                 admitted.excluded | self.unreachable,
                 now,
-                is_large=len(admitted.upstream_call.body) > LARGE_BODY_BYTES,
+                is_large=admitted.route.has_large_answers
+                or len(admitted.upstream_call.body) > LARGE_BODY_BYTES,
             )
             if instance is not None or admitted.excluded or now > until:
                 return instance
--- a/src/jasmineramp/mesh/route_table.py
+++ b/src/jasmineramp/mesh/route_table.py
@@ -31,7 +31,8 @@
 class RouteRow(msgspec.Struct, frozen=True):
     """Hold the row of a route; times are in milliseconds.
 
-    Rank 0 is the most important. `attempts` includes the first one.
+    Rank 0 is the most important. `attempts` includes the first one. Large
+    answers should stay within a failure domain.
     """
 
     name: RowName
@@ -44,6 +45,7 @@
     rank: int
     attempts: int
     is_open: bool
+    has_large_answers: bool = False
 
 
 class RankedWorkspace(msgspec.Struct, frozen=True):
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -19,6 +19,13 @@
 from jasmineramp.table import KeyRow, WorkspaceRow
 
 CONFIGURATION_KEY = 'op/config'
+_DOWNLOAD = 'download'
+_KINDS = {
+    'idempotent': CallKind.idempotent,
+    _DOWNLOAD: CallKind.idempotent,
+    'non_idempotent': CallKind.once,
+    'upload': CallKind.once,
+}
 
 
 class _WireTarget(msgspec.Struct):
@@ -103,19 +110,24 @@
         targets = (ServiceShare(ServiceName(wire.service), 1),)
     if not targets or any(not each.service for each in targets):
         raise ValueError(f'route {name} has no service')
+    kind = _KINDS.get(wire.route_type)
+    if kind is None:
+        raise ValueError(
+            f'route {name}: routeType {wire.route_type!r} is not one of '
+            f'{", ".join(_KINDS)}'
+        )
     return RouteRow(
         RowName(name),
         wire.hostname.lower(),
         wire.prefix,
         targets,
-        CallKind.idempotent
-        if wire.route_type == 'idempotent'
-        else CallKind.once,
+        kind,
         read_duration_ms(wire.timeout),
         read_duration_ms(wire.target_latency),
         wire.priority,
         max(1, wire.max_attempts),
         wire.auth_exempt,
+        wire.route_type == _DOWNLOAD,
     )
 
 
--- a/tests/platform/test_check_command.py
+++ b/tests/platform/test_check_command.py
@@ -64,6 +64,14 @@
         self.assertEqual(status, 2)
         self.assertIn('$.routes', printed)
 
+    def test_unknown_kind_is_rejected_by_row(self) -> None:
+        """The error names the row, the kind and those that are known."""
+        wrong = json.dumps(CONFIGURATION).replace('non_idempotent', 'teleport')
+        status, printed = self.check('table', wrong)
+        self.assertEqual(status, 2)
+        for part in ('route buy', 'teleport', 'download'):
+            self.assertIn(part, printed)
+
     def test_json_output_has_no_keys(self) -> None:
         """With --json the table is printed as JSON, without keys."""
         status, printed = self.check(
@@ -81,6 +89,6 @@
         self.assertEqual(
             ' '.join(document['routes'][0]),
             'name host prefix targets kind timeout_ms objective_ms rank '
-            'attempts is_open',
+            'attempts is_open has_large_answers',
         )
         self.assertEqual(set(document['workspaces'][0]), {'row', 'rank'})
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -39,6 +39,17 @@
         read = self.decode().find('a.example', '/read/1')  # type: ignore
         self.assertIs(read.kind, CallKind.once)
 
+    def test_download_is_idempotent_with_large_answers(self) -> None:
+        self.wire['routes']['buy']['routeType'] = 'download'  # type: ignore
+        buy = self.decode().find('a.example', '/buy/1')  # type: ignore
+        self.assertIs(buy.kind, CallKind.idempotent)
+        self.assertTrue(buy.has_large_answers)
+
+    def test_unknown_kind_names_the_row(self) -> None:
+        self.wire['routes']['buy']['routeType'] = 'teleport'  # type: ignore
+        with self.assertRaisesRegex(ValueError, "route buy: .*'teleport'"):
+            self.decode()
+
     def test_weighted_targets(self) -> None:
         route = self.wire['routes']['read']  # type: ignore
         del route['service']
