Throttle only for load, and grow back at once where there is room

Change: only refusals for lack of slots count, and server errors above five refusals in a hundred. Replies tell whether slots are free all the way down; the admitted share then grows by 15% a tick. Calls that a repeat makes are charged but never refused. A node remembers for at most 100 ms that a bucket is empty.

--- a/src/jasmineramp/mesh/admitted_call.py
+++ b/src/jasmineramp/mesh/admitted_call.py
@@ -14,6 +14,7 @@
         'excluded',
         'failed_attempts',
         'first_result',
+        'had_room',
         'has_arrived',
         'is_starved',
         'redirects',
@@ -46,6 +47,8 @@
         self.has_arrived = False
         # Whether calls of the instance that answered are being refused.
         self.is_starved = False
+        # Whether that instance and the services it calls had free slots.
+        self.had_room = False
         # The result of the first attempt. It is returned if no later attempt
         # succeeds, because the call may have run.
         self.first_result: CallResult | None = None
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -42,7 +42,8 @@
     clocks of VMs may differ. `hop` is 0 for a call with a workspace. It is 1
     for a call without one, which counts as part of a request that is already
     running. `max_wait_ms` limits the time in the queue of the upstream.
-    `is_repeat` tells that the call, or the one that makes it, was sent before.
+    `is_resent` tells that an instance may have received the call before,
+    `is_repeat` that this holds for it or for the call that makes it.
     """
 
     request_id: str
@@ -60,6 +61,7 @@
     hop: int
     is_idempotent: bool
     max_wait_ms: float = MAX_QUEUE_WAIT_MS
+    is_resent: bool = False
     is_repeat: bool = False
 
 
--- a/src/jasmineramp/mesh/downstream.py
+++ b/src/jasmineramp/mesh/downstream.py
@@ -18,29 +18,41 @@
 MIN_CALLS = 5
 # A call with five calls of its own still succeeds in 39 of 40 cases.
 TOLERATED_REFUSED_SHARE = 0.005
+# Server errors of an instance count as refusals above this share only; below
+# it, most of them have other causes.
+STARVED_REFUSED_SHARE = 0.05
 # The effect of a lower share shows after about a second, in which it falls by
 # the share of calls that were refused.
 DECREASE_PER_TICK = 1 / 8
 # The share grows faster with every tick without refusals.
 INCREASE_PER_CALM_TICK = 0.001
 MAX_CALM_TICKS = 60
+# Growth where the services further down have free slots.
+INCREASE_WITH_ROOM = 0.15
+ROOMY_SHARE = 0.9
 # Some calls always pass, to find out whether there is room again.
 MIN_ADMITTED_SHARE = 0.05
 MIN_SERVER_ERROR = 500
 RETRY_AFTER_MS = (300.0, 900.0)
-_LOAD_REFUSALS = frozenset(
-    (RefusalCode.overloaded, RefusalCode.deadline_exceeded)
-)
 
 
 class _Level:
     """Hold the counts and the admitted share of one importance."""
 
-    __slots__ = ('admitted_share', 'calm_ticks', 'credit', 'refused', 'sent')
+    __slots__ = (
+        'admitted_share',
+        'calm_ticks',
+        'credit',
+        'refused',
+        'roomy',
+        'sent',
+    )
 
     def __init__(self) -> None:
         self.sent = float(0)
         self.refused = float(0)
+        # Calls to instances with free slots, there and further down.
+        self.roomy = float(0)
         self.admitted_share = float(1)
         self.credit = float(1)
         self.calm_ticks = 0
@@ -48,6 +60,9 @@
     def refused_share(self) -> float:
         return self.refused / self.sent if self.sent >= MIN_CALLS else 0
 
+    def has_room(self) -> bool:
+        return self.roomy >= ROOMY_SHARE * self.sent
+
     def admits(self) -> bool:
         """Spread the admitted calls evenly."""
         if self.admitted_share >= 1:
@@ -64,6 +79,8 @@
         if refused_share > TOLERATED_REFUSED_SHARE:
             self.calm_ticks = 0
             factor = 1 - refused_share * DECREASE_PER_TICK
+        elif self.has_room():
+            factor = 1 + INCREASE_WITH_ROOM
         else:
             self.calm_ticks = min(self.calm_ticks + 1, MAX_CALM_TICKS)
             factor = 1 + self.calm_ticks * INCREASE_PER_CALM_TICK
@@ -71,6 +88,7 @@
         self.admitted_share = min(1, max(MIN_ADMITTED_SHARE, share))
         self.sent *= FADE_FACTOR
         self.refused *= FADE_FACTOR
+        self.roomy *= FADE_FACTOR
 
 
 class DownstreamPressure:
@@ -80,13 +98,20 @@
         self.random = rng
         self.levels: dict[int, _Level] = {}
 
-    def record(self, importance: int, *, was_refused: bool) -> None:
-        """Count a call that the local upstream made."""
+    def record(
+        self, importance: int, *, was_refused: bool, had_room: bool = False
+    ) -> None:
+        """Count a call that the local upstream made.
+
+        `had_room` tells that the instance that answered had free slots, and so
+        had the services that it calls.
+        """
         level = self.levels.get(importance)
         if level is None:
             level = self.levels[importance] = _Level()
         level.sent += 1
         level.refused += was_refused
+        level.roomy += had_room
 
     def admits(self, importance: Importance) -> bool:
         """Return whether to admit a new call of this importance."""
@@ -103,10 +128,14 @@
     def is_starved(self) -> bool:
         """Return whether calls of the local upstream are being refused."""
         return any(
-            level.refused_share() > TOLERATED_REFUSED_SHARE
+            level.refused_share() > STARVED_REFUSED_SHARE
             for level in self.levels.values()
         )
 
+    def has_room(self) -> bool:
+        """Return whether the services further down have free slots."""
+        return all(level.has_room() for level in self.levels.values())
+
     def retry_after_ms(self) -> float:
         """Return a random delay, so that callers do not return together."""
         return self.random.uniform(*RETRY_AFTER_MS)
@@ -128,7 +157,7 @@
     if isinstance(result, Failure):
         return (
             result.run is RunState.not_run
-            and result.code in _LOAD_REFUSALS
+            and result.code is RefusalCode.overloaded
             and not result.may_have_arrived
         )
     return is_starved and _is_server_error(result)
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -160,6 +160,7 @@
                     was_refused=was_refused_for_load(
                         result, is_starved=admitted.is_starved
                     ),
+                    had_room=admitted.had_room,
                 )
         except Exception as error:
             # The call may have run, so the response must not rule that out.
@@ -411,7 +412,7 @@
         call = admitted.upstream_call
         if admitted.has_arrived:
             self.metrics.repeats[admitted.service] += 1
-            call.is_repeat = True
+            call.is_resent = call.is_repeat = True
         else:
             self.retry_budget.count_send(admitted.service)
         call.remaining_ms = remaining_ms
@@ -423,6 +424,7 @@
                     await self.gate.run(call),
                     self.gate.load(),
                     self.gate.pressure.is_starved(),
+                    self.gate.has_room(),
                 )
             else:
                 outcome = await run_at_peer(
@@ -431,6 +433,7 @@
             observation.load = outcome.load
             observation.outcome = _outcome_of(outcome.result)
         admitted.is_starved = outcome.is_starved
+        admitted.had_room = outcome.has_room
         return outcome.result
 
     def _overloaded(self, admitted: AdmittedCall) -> Failure:
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -114,6 +114,10 @@
             self.record.is_ready(),
         )
 
+    def has_room(self) -> bool:
+        """Return whether slots are free, here and further down."""
+        return not self.load().queued and self.pressure.has_room()
+
     async def run(self, call: UpstreamCall) -> CallResult:
         """Admit a call, run it at the upstream and return its result."""
         refusal = self._refuse_early(call)
@@ -204,6 +208,8 @@
             return self._refuse_for_pressure(call)
         if not call.is_repeat:
             self.repeat_budget.count_first()
+        elif not call.is_resent:
+            self.repeat_budget.charge()
         elif not self.repeat_budget.take(call.importance):
             return Failure(
                 RefusalCode.overloaded,
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -292,6 +292,7 @@
                 result,
                 self.gate.load(),
                 self.gate.pressure.is_starved(),
+                self.gate.has_room(),
             )
         )
 
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -39,12 +39,14 @@
 class SendOutcome(NamedTuple):
     """Hold the result of a call and, if its node answered, the load there.
 
-    `is_starved` tells that calls which the upstream makes are being refused.
+    `is_starved` tells that calls which the upstream makes are being refused,
+    `has_room` that it has free slots and so have the services that it calls.
     """
 
     result: CallResult
     load: LoadReport | None = None
     is_starved: bool = False
+    has_room: bool = False
 
 
 async def run_at_peer(
@@ -88,4 +90,6 @@
                 RefusalCode.internal_error, 'unexpected reply frame'
             )
         )
-    return SendOutcome(frame.result, frame.load, frame.is_starved)
+    return SendOutcome(
+        frame.result, frame.load, frame.is_starved, frame.has_room
+    )
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -36,13 +36,15 @@
 class RunReply(Frame, tag=3):
     """Return the result of a call and the load of the upstream.
 
-    `is_starved` tells that calls which the upstream makes are being refused.
+    `is_starved` tells that calls which the upstream makes are being refused,
+    `has_room` that it has free slots and so have the services that it calls.
     """
 
     stream: int
     result: Answer | Failure
     load: LoadReport
     is_starved: bool = False
+    has_room: bool = False
 
 
 class Cancel(Frame, tag=4):
--- a/src/jasmineramp/mesh/quota_taker.py
+++ b/src/jasmineramp/mesh/quota_taker.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from jasmineramp.clock import Clock, Millis, later
-from jasmineramp.ids import NodeId
+from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.mesh.peer_calls import ask_peer
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import QuotaReply, QuotaRequest
@@ -19,6 +19,8 @@
 # The reachable fraction is computed again after this time, the interval at
 # which links are checked for silent peers.
 FRACTION_VALIDITY_MS = 100.0
+# The owner is asked again after this time, since burst or rate may change.
+MAX_EMPTY_MS = 100.0
 
 
 class FleetQuotaClient:
@@ -36,6 +38,8 @@
         self.owners = OwnerLookup()
         self.owned = OwnedQuotas()
         self.local = LocalQuotas()
+        # Until when the owner's bucket has no token, as its replies told.
+        self.empty_until: dict[WorkspaceId, Millis] = {}
         self.links: dict[NodeId, PeerLink] = {}
         self.reachable_fraction = float(1)
         self.fraction_valid_until = Millis(float('-inf'))
@@ -53,6 +57,9 @@
     async def take(self, workspace: RankedWorkspace) -> float:
         """Take a token; return 0, or the wait in ms until one is available."""
         row = workspace.row
+        known_wait_ms = self._known_wait_ms(row.name)
+        if known_wait_ms > 0:
+            return known_wait_ms
         owner = self.owners.find(row.name)
         wait_ms: float | None = None
         if owner == self.node:
@@ -100,4 +107,23 @@
         frame = await ask_peer(
             link, lambda number: QuotaRequest(number, row.name), REPLY_TIMEOUT_S
         )
-        return frame.wait_ms if isinstance(frame, QuotaReply) else None
+        if not isinstance(frame, QuotaReply):
+            return None
+        if frame.wait_ms:
+            empty_ms = min(frame.wait_ms, MAX_EMPTY_MS)
+            self.empty_until[row.name] = later(self.clock.now(), empty_ms)
+        return frame.wait_ms
+
+    def _known_wait_ms(self, workspace: WorkspaceId) -> float:
+        """Return the wait in ms that a reply of the owner still implies.
+
+        A workspace at many times its rate is refused without a question for
+        each request.
+        """
+        empty_until = self.empty_until.get(workspace)
+        if empty_until is None:
+            return 0
+        wait_ms = empty_until - self.clock.now()
+        if wait_ms <= 0:
+            del self.empty_until[workspace]
+        return wait_ms
--- a/src/jasmineramp/mesh/retry_budget.py
+++ b/src/jasmineramp/mesh/retry_budget.py
@@ -45,8 +45,16 @@
         """Add credit for a call that is not a repeat."""
         self.credit = min(self.max_credit, self.credit + self.credit_per_first)
 
+    def charge(self) -> None:
+        """Spend credit on a call that a repeated call makes.
+
+        It is never refused, as that would waste the work for the repeat. The
+        services that call this one bound how many there are.
+        """
+        self.credit = max(-MAX_CREDIT, self.credit - 1)
+
     def take(self, importance: int) -> bool:
-        """Spend credit on one repeat; return False if there is too little."""
+        """Spend credit on a call sent again; return False without credit."""
         levels = max(0, TOP_IMPORTANCE - importance)
         reserve = (self.max_credit - 1) * min(1, RESERVE_PER_LEVEL * levels)
         if self.credit < 1 + reserve:
