Split the entry, the gate and the stop of the node

Change: caller_admission.py decides which calls of callers enter, entry.py sends them; observation.py reports outcomes to routing, call_results.py turns answers and refusals into results, graceful_stop.py holds the stop. Two tests use the clock of the package in place of their own. No behaviour is changed.

--- /dev/null
+++ b/src/jasmineramp/mesh/graceful_stop.py
@@ -0,0 +1,69 @@
+"""Stop a node without interrupting calls."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from jasmineramp.clock import Clock, Millis
+from jasmineramp.mesh.caller_admission import CallerAdmission
+from jasmineramp.mesh.caller_http import CallerServer
+from jasmineramp.mesh.instance_gate import InstanceGate
+
+POLL_S = 0.05
+# Time for callers to see two failed readiness checks, at one per second.
+CALLER_CLOSE_DELAY_MS = 2_400
+# Delay before the upstream of a stopping node is withdrawn. Without it, nodes
+# that are stopped one after another would remove several upstreams of a
+# service at once.
+UPSTREAM_WITHDRAWAL_DELAY_MS = 1_600
+ADMISSION_CLOSE_DELAY_MS = 3_200
+# The rest of the grace period is reserved for the exit of the process.
+USABLE_GRACE_FRACTION = 0.86
+
+
+class GracefulStop:
+    """Withdraw the upstream and wait for open calls in the grace period."""
+
+    def __init__(
+        self,
+        grace_ms: float,
+        caller_server: CallerServer,
+        gate: InstanceGate,
+        *,
+        admission: CallerAdmission,
+        withdraw_upstream: Callable[[], Awaitable[None]],
+        clock: Clock,
+    ) -> None:
+        self.grace_ms = grace_ms
+        self.caller_server = caller_server
+        self.gate = gate
+        self.admission = admission
+        self.withdraw_upstream = withdraw_upstream
+        self.clock = clock
+
+    def open_calls(self) -> int:
+        """Return the number of calls in progress, here and at the upstream."""
+        return self.caller_server.open_requests.count + self.gate.running()
+
+    async def run(self, started: Millis) -> None:
+        """Return when no call is open or the grace period is nearly over."""
+        self.caller_server.drain()
+        drain_limit_ms = self.grace_ms * USABLE_GRACE_FRACTION
+        while True:
+            elapsed_ms = self.clock.now() - started
+            if (
+                elapsed_ms > UPSTREAM_WITHDRAWAL_DELAY_MS
+                and not self.gate.is_node_stopping
+            ):
+                await self.withdraw_upstream()
+            if elapsed_ms > ADMISSION_CLOSE_DELAY_MS:
+                self.admission.is_refusing = True
+            if elapsed_ms > CALLER_CLOSE_DELAY_MS:
+                self.caller_server.close_idle()
+            is_idle = (
+                not self.open_calls() and not self.caller_server.connections
+            )
+            if elapsed_ms > drain_limit_ms or (
+                is_idle and elapsed_ms > CALLER_CLOSE_DELAY_MS
+            ):
+                return
+            await asyncio.sleep(POLL_S)
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -11,11 +11,14 @@
 from jasmineramp.ids import CallId, Importance
 from jasmineramp.limits import CallOutcome
 from jasmineramp.load_reports import LoadReport
+from jasmineramp.mesh.call_results import (
+    failure_of,
+    outcome_of,
+    result_of_answer,
+)
 from jasmineramp.mesh.calls import (
-    Answer,
     CallResult,
     Failure,
-    ResponseHead,
     UpstreamCall,
     not_run_failure,
     run_unknown_failure,
@@ -47,7 +50,6 @@
 # Running calls above this fraction of the limit are reported as load, so that
 # peers compare the instance with those of other failure domains.
 LOAD_THRESHOLD_FRACTION = 0.75
-MISDIRECTED_REQUEST_STATUS = 421
 
 CallWriter = Callable[[UpstreamCall, float], bytes]
 
@@ -143,7 +145,7 @@
         started = self.clock.now()
         with _RunningCall(self, call_id, call) as running:
             result = await self._send(call, deadline)
-            running.outcome = _outcome_of(result)
+            running.outcome = outcome_of(result)
         took_ms = self.clock.now() - started
         self.metrics.upstream_time.record(took_ms)
         if isinstance(result, Failure):
@@ -244,7 +246,7 @@
             return None
         if isinstance(own_decision, Refuse):
             self._apply(decisions[1:])
-            return _failure_of(own_decision)
+            return failure_of(own_decision)
         future: asyncio.Future[Failure | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -267,7 +269,7 @@
             if future is None or future.done():
                 continue
             if isinstance(decision, Refuse):
-                future.set_result(_failure_of(decision))
+                future.set_result(failure_of(decision))
             else:
                 future.set_result(None)
 
@@ -342,7 +344,7 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        return _result_of_answer(answer, head)
+        return result_of_answer(answer, head)
 
 
 class _RunningCall:
@@ -368,42 +370,3 @@
 
 def _ignore_lost_upstream() -> None:
     """Ignore the loss of the upstream."""
-
-
-def _result_of_answer(answer: Answer, head: ResponseHead) -> CallResult:
-    if head.not_run or answer.status == MISDIRECTED_REQUEST_STATUS:
-        return Failure(
-            RefusalCode.overloaded,
-            RunState.not_run,
-            f'upstream refused with status {answer.status}',
-            may_have_arrived=True,
-        )
-    if not head.has_signature or head.is_encoded:
-        # The response has no signature header or has a content encoding.
-        return run_unknown_failure(
-            RefusalCode.upstream_lost, 'response is not genuine'
-        )
-    return answer
-
-
-def _outcome_of(result: CallResult) -> CallOutcome:
-    if isinstance(result, Answer):
-        failed = result.status >= 500  # noqa: PLR2004
-        return CallOutcome.failed if failed else CallOutcome.succeeded
-    if result.code is RefusalCode.deadline_exceeded:
-        return CallOutcome.timed_out
-    if result.run is RunState.not_run:
-        return CallOutcome.shed
-    return CallOutcome.failed
-
-
-def _failure_of(refusal: Refuse) -> Failure:
-    return Failure(
-        refusal.code,
-        RunState.not_run,
-        row=refusal.row,
-        column=refusal.column,
-        figure=refusal.figure,
-        limit=refusal.limit,
-        retry_after_ms=refusal.retry_after,
-    )
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -12,6 +12,7 @@
 from jasmineramp import routing
 from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.membership_messages import UpstreamState
+from jasmineramp.mesh.caller_admission import CallerAdmission
 from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
 from jasmineramp.mesh.calls import (
     CallerRequest,
@@ -24,6 +25,7 @@
 from jasmineramp.mesh.entry import Entry
 from jasmineramp.mesh.fleet_view import FleetView
 from jasmineramp.mesh.freshness import Freshness
+from jasmineramp.mesh.graceful_stop import GracefulStop
 from jasmineramp.mesh.instance_gate import InstanceGate
 from jasmineramp.mesh.node_metrics import (
     Gauges,
@@ -58,16 +60,6 @@
 TICK_S = 0.1
 TICKS_PER_LOG_FLUSH = 2
 TICKS_PER_EXPIRY = 5
-STOP_POLL_S = 0.05
-# Time for callers to see two failed readiness checks, at one per second.
-CALLER_CLOSE_DELAY_MS = 2_400
-# Delay before the upstream of a stopping node is withdrawn. Without it, nodes
-# that are stopped one after another would remove several upstreams of a
-# service at once.
-UPSTREAM_WITHDRAWAL_DELAY_MS = 1_600
-ADMISSION_CLOSE_DELAY_MS = 3_200
-# The rest of the grace period is reserved for the exit of the process.
-USABLE_GRACE_FRACTION = 0.86
 METRICS_PATH = b'/metrics'
 METRICS_CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
@@ -128,16 +120,20 @@
         self.quotas = FleetQuotaClient(
             settings.node, self.registration.is_valid, clock
         )
+        self.admission = CallerAdmission(
+            settings.service,
+            self.gate.running_calls,
+            quotas=self.quotas,
+            split=TargetSplit(rng),
+            freshness=self.freshness,
+        )
         self.entry = Entry(
             settings.node,
-            settings.service,
+            self.admission,
             dialect=platform,
             gate=self.gate,
-            quotas=self.quotas,
             routes=self.routes,
             retry_budget=self.retry_budget,
-            split=TargetSplit(rng),
-            freshness=self.freshness,
             metrics=self.metrics,
             log=log,
             clock=clock,
@@ -223,7 +219,7 @@
         )
         self.freshness.apply_ms = bounds.apply_ms
         self.freshness.revoke_ms = bounds.revoke_ms
-        self.entry.service = settings.service
+        self.admission.service = settings.service
         self.log.write('settings_reloaded', service=settings.service)
 
     async def stop(self) -> None:
@@ -231,10 +227,17 @@
         if self.stopping_since is not None:
             return
         self.stopping_since = self.clock.now()
-        self.log.write('node_stopping', open=self._open_calls())
-        self.caller_server.drain()
-        await self._wait_for_calls(self.stopping_since)
-        self.log.write('node_stopped', open=self._open_calls())
+        stop = GracefulStop(
+            self.settings.bounds.grace_ms,
+            self.caller_server,
+            self.gate,
+            admission=self.admission,
+            withdraw_upstream=self._withdraw_upstream,
+            clock=self.clock,
+        )
+        self.log.write('node_stopping', open=stop.open_calls())
+        await stop.run(self.stopping_since)
+        self.log.write('node_stopped', open=stop.open_calls())
         self.close()
 
     def close(self) -> None:
@@ -264,7 +267,7 @@
 
     def take_quota_for_peer(self, frame: QuotaRequest) -> float | None:
         """Return 0 or a wait in ms, None if this node may not grant tokens."""
-        table = self.entry.table
+        table = self.admission.table
         workspace = table and table.workspaces.get(frame.workspace)
         if not workspace:
             return None
@@ -296,36 +299,11 @@
             )
         )
 
-    async def _wait_for_calls(self, stop_started: Millis) -> None:
-        drain_limit_ms = self.settings.bounds.grace_ms * USABLE_GRACE_FRACTION
-        while True:
-            elapsed_ms = self.clock.now() - stop_started
-            if (
-                elapsed_ms > UPSTREAM_WITHDRAWAL_DELAY_MS
-                and not self.gate.is_node_stopping
-            ):
-                await self._withdraw_upstream()
-            if elapsed_ms > ADMISSION_CLOSE_DELAY_MS:
-                self.entry.is_refusing = True
-            if elapsed_ms > CALLER_CLOSE_DELAY_MS:
-                self.caller_server.close_idle()
-            is_idle = (
-                not self._open_calls() and not self.caller_server.connections
-            )
-            if elapsed_ms > drain_limit_ms or (
-                is_idle and elapsed_ms > CALLER_CLOSE_DELAY_MS
-            ):
-                return
-            await asyncio.sleep(STOP_POLL_S)
-
     async def _withdraw_upstream(self) -> None:
         self.gate.is_node_stopping = True
         self.local_upstream.notify_peers(UpstreamState.draining)
         await self.registration.unregister()
 
-    def _open_calls(self) -> int:
-        return self.caller_server.open_requests.count + self.gate.running()
-
     def _servers(self) -> tuple[CallerServer, ...]:
         return (
             self.caller_server,
@@ -338,7 +316,7 @@
         return self.caller_limits
 
     def _apply_table(self, table: RouteTable) -> None:
-        self.entry.table = table
+        self.admission.table = table
         self.entry.responder.version = table.version
         self.caller_limits = self._bound_by_memory(table.limits)
 
@@ -350,7 +328,7 @@
         if not self.platform.is_readiness_check(request):
             return CallerResponse(HTTPStatus.NOT_FOUND, [])
         is_ready = (
-            self.entry.table is not None
+            self.admission.table is not None
             and self.directory_watch.is_known()
             and self.stopping_since is None
         )
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -240,7 +240,7 @@
     def _is_complete(self) -> bool:
         return all(
             len(node.routes.targets) == len(self.nodes)
-            and node.entry.table is not None
+            and node.admission.table is not None
             and node.directory_watch.is_listed
             for node in self.nodes
         )
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -124,8 +124,8 @@
         self.fleet.configure(configuration)
         await self.fleet.until(
             lambda: all(
-                node.entry.table is not None
-                and not node.entry.table.has_workspaces
+                node.admission.table is not None
+                and not node.admission.table.has_workspaces
                 for node in self.fleet.nodes
             )
         )
@@ -184,9 +184,9 @@
         self.fleet.configure(configuration)
         await self.fleet.until(
             lambda: all(
-                node.entry.table.routes[1].timeout_ms == 200
+                node.admission.table.routes[1].timeout_ms == 200
                 for node in self.fleet.nodes
-                if node.entry.table
+                if node.admission.table
             )
         )
         self.set_handler(self.hang)
@@ -249,8 +249,8 @@
 
         def is_in_force() -> bool:
             return all(
-                node.entry.table is not None
-                and node.entry.table.revision == self.fleet.store.revision
+                node.admission.table is not None
+                and node.admission.table.revision == self.fleet.store.revision
                 for node in self.fleet.nodes
             )
 
--- a/tests/mesh/test_quota_taker.py
+++ b/tests/mesh/test_quota_taker.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import ManualClock
 from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.mesh.peer_messages import QuotaReply
 from jasmineramp.mesh.quota_taker import MAX_EMPTY_MS, FleetQuotaClient
@@ -19,17 +19,6 @@
 WORKSPACE = RankedWorkspace(ROW, None)
 
 
-class ManualClock:
-    """Return a time that the test sets."""
-
-    def __init__(self) -> None:
-        self.time_ms = 0.0
-
-    def now(self) -> Millis:
-        """Return the time."""
-        return Millis(self.time_ms)
-
-
 class HotWorkspaceTest(unittest.IsolatedAsyncioTestCase):
     """Test a node that asks the owner of the bucket."""
 
@@ -59,7 +48,7 @@
         """Offer requests evenly and return how many got a token."""
         granted = 0
         for _ in range(seconds * per_s):
-            self.clock.time_ms += 1000 / per_s
+            self.clock.advance(1000 / per_s)
             granted += not await self.client.take(WORKSPACE)
         return granted
 
@@ -73,9 +62,9 @@
     async def test_owner_is_asked_again_soon(self) -> None:
         with mock.patch.object(self.owned, 'take', return_value=60_000.0):
             self.assertGreater(await self.client.take(WORKSPACE), 0)
-        self.clock.time_ms += MAX_EMPTY_MS - 1
+        self.clock.advance(MAX_EMPTY_MS - 1)
         self.assertGreater(await self.client.take(WORKSPACE), 0)
         self.assertEqual(self.asked, 1)
-        self.clock.time_ms += 1
+        self.clock.advance(1)
         self.assertEqual(await self.client.take(WORKSPACE), 0)
         self.assertEqual(self.asked, 2)
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -5,7 +5,7 @@
 
 from bench.metadata_store import MetadataStore
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import ManualClock
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.decision_log import DecisionLog
@@ -20,17 +20,6 @@
 HOST = '127.0.0.1'
 
 
-class ManualClock:
-    """Return a time that the test sets."""
-
-    def __init__(self) -> None:
-        self.time_ms = 0.0
-
-    def now(self) -> Millis:
-        """Return the time."""
-        return Millis(self.time_ms)
-
-
 class RegistrationTest(unittest.IsolatedAsyncioTestCase):
     """Test restarts and frequent changes of one node."""
 
@@ -100,13 +89,13 @@
         registration = self.start()
         await self.run_steps(registration, 2)
         for turn in range(8):
-            self.clock.time_ms += RENEW_INTERVAL_MS / 2
+            self.clock.advance(RENEW_INTERVAL_MS / 2)
             self.state = (UpstreamState.draining, UpstreamState.ready)[turn % 2]
             registration.mark_changed()
             await self.run_steps(registration, 1)
         self.assertEqual(registration.store.counts['keep', 'done'], 4)
         self.assertEqual(
-            registration.valid_until, self.clock.time_ms + LEASE_TTL_MS
+            registration.valid_until, self.clock.now() + LEASE_TTL_MS
         )
 
     async def test_unchanged_entry_is_not_written_again(self) -> None:
--- a/tests/mesh/test_relay.py
+++ b/tests/mesh/test_relay.py
@@ -54,8 +54,8 @@
         self.fleet.configure(configuration)
         await self.fleet.until(
             lambda: all(
-                node.entry.table is not None
-                and node.entry.table.version == '00000002'
+                node.admission.table is not None
+                and node.admission.table.version == '00000002'
                 for node in self.fleet.nodes
             )
         )
@@ -114,8 +114,8 @@
         self.fleet.configure(configuration)
         await self.fleet.until(
             lambda: all(
-                node.entry.table is not None
-                and node.entry.table.version == '00000002'
+                node.admission.table is not None
+                and node.admission.table.version == '00000002'
                 for node in others
             )
         )
