Write the entry of a restarted node whose address has changed

Cause: read-through. Since a new process keeps the entry of the one before, a node without an announced upstream would have left its old address in the store until the first announcement. The load of the gate was also computed twice for each reply.

Run: the test of a changed entry no longer needs the help of a callback; tests.mesh.test_registration and test_node.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -233,11 +233,13 @@
         call.instance = ''
         with Observation(self.routes, instance, self.clock) as observation:
             if instance.node == self.node:
+                result = await self.gate.run(call)
+                load = self.gate.load()
                 outcome = SendOutcome(
-                    await self.gate.run(call),
-                    self.gate.load(),
+                    result,
+                    load,
                     self.gate.pressure.is_starved(),
-                    self.gate.has_room(),
+                    self.gate.has_room(load),
                 )
             else:
                 outcome = await run_at_peer(
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -116,9 +116,9 @@
             self.record.is_ready(),
         )
 
-    def has_room(self) -> bool:
+    def has_room(self, load: LoadReport) -> bool:
         """Return whether slots are free, here and further down."""
-        return not self.load().queued and self.pressure.has_room()
+        return not load.queued and self.pressure.has_room()
 
     async def run(self, call: UpstreamCall) -> CallResult:
         """Admit a call, run it at the upstream and return its result."""
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -289,13 +289,14 @@
                 RefusalCode.internal_error, 'internal error in the node'
             )
         session.streams.pop(frame.stream, None)
+        load = self.gate.load()
         session.write(
             RunReply(
                 frame.stream,
                 result,
-                self.gate.load(),
+                load,
                 self.gate.pressure.is_starved(),
-                self.gate.has_room(),
+                self.gate.has_room(load),
             )
         )
 
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -172,6 +172,8 @@
                 self.version = entry.version
                 self._record_write(entry)
             self.on_restored(entry)
+            # The address may have changed with the process.
+            self.mark_changed()
         return self.is_restored
 
     def _is_written(self) -> bool:
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -57,7 +57,6 @@
         first = self.start()
         await self.run_steps(first, 2)
         again = self.start()
-        again.on_restored = lambda _entry: again.mark_changed()
         await self.run_steps(again, 1)
         self.assertEqual(again.lease, first.lease)
         self.assertTrue(again.stored.is_set())
@@ -70,7 +69,6 @@
         await self.run_steps(first, 2)
         self.state = UpstreamState.draining
         again = self.start()
-        again.on_restored = lambda _entry: again.mark_changed()
         await self.run_steps(again, 1)
         self.assertEqual(again.store.counts['txn', 'done'], 1)
         self.assertTrue(again.stored.is_set())
