--- a/src/jasmineramp/mesh/call_results.py
+++ b/src/jasmineramp/mesh/call_results.py
@@ -34,8 +34,9 @@
 def outcome_of(result: CallResult) -> CallOutcome:
     """Return the outcome of a call for the concurrency limit."""
     if isinstance(result, Answer):
-        failed = result.status >= 500  # noqa: PLR2004
-        return CallOutcome.failed if failed else CallOutcome.succeeded
+        if result.is_server_error():
+            return CallOutcome.failed
+        return CallOutcome.succeeded
     if result.code is RefusalCode.deadline_exceeded:
         return CallOutcome.timed_out
     if result.run is RunState.not_run:
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -10,6 +10,7 @@
 from jasmineramp.refusals import RefusalCode, RunState
 
 Headers = list[tuple[bytes, bytes]]
+MIN_SERVER_ERROR = 500
 
 
 class CallerRequest(msgspec.Struct, gc=False):
@@ -73,6 +74,10 @@
     headers: Headers
     body: bytes
 
+    def is_server_error(self) -> bool:
+        """Return whether the upstream failed to answer the call."""
+        return self.status >= MIN_SERVER_ERROR
+
 
 class Failure(msgspec.Struct, array_like=True, gc=False, tag=2):
     """Describe why a call has no answer.
--- a/src/jasmineramp/mesh/downstream.py
+++ b/src/jasmineramp/mesh/downstream.py
@@ -10,7 +10,7 @@
 import random
 
 from jasmineramp.ids import Importance
-from jasmineramp.mesh.calls import Answer, CallResult, Failure
+from jasmineramp.mesh.calls import CallResult, Failure
 from jasmineramp.refusals import RefusalCode, RunState
 
 # Counts of one tick (100 ms) fade to a tenth in seven ticks.
@@ -32,7 +32,6 @@
 ROOMY_SHARE = 0.9
 # Some calls always pass, to find out whether there is room again.
 MIN_ADMITTED_SHARE = 0.05
-MIN_SERVER_ERROR = 500
 RETRY_AFTER_MS = (300.0, 900.0)
 
 
@@ -160,8 +159,4 @@
             and result.code is RefusalCode.overloaded
             and not result.may_have_arrived
         )
-    return is_starved and _is_server_error(result)
-
-
-def _is_server_error(answer: Answer) -> bool:
-    return answer.status >= MIN_SERVER_ERROR
+    return is_starved and result.is_server_error()
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -40,7 +40,6 @@
 MAX_REDIRECTS = 2
 INSTANCE_WAIT_MS = 200
 INSTANCE_POLL_INTERVAL_S = 0.05
-MIN_SERVER_ERROR_STATUS = 500
 # Calls with a larger body, like those with large answers, prefer instances in
 # the local failure domain: traffic between domains is billed by the byte.
 LARGE_BODY_BYTES = 16_384
@@ -170,10 +169,7 @@
             ):
                 return None
             return admitted.first_result or result
-        if (
-            isinstance(result, Answer)
-            and result.status < MIN_SERVER_ERROR_STATUS
-        ):
+        if isinstance(result, Answer) and not result.is_server_error():
             return result
         admitted.failed_attempts += 1
         admitted.first_result = admitted.first_result or result
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -90,5 +90,5 @@
 def classify_result(result: CallResult) -> str:
     """Return answered, failed_upstream, refused or failed."""
     if isinstance(result, Answer):
-        return 'answered' if result.status < 500 else 'failed_upstream'  # noqa: PLR2004
+        return 'failed_upstream' if result.is_server_error() else 'answered'
     return 'refused' if result.run is RunState.not_run else 'failed'
--- a/src/jasmineramp/mesh/observation.py
+++ b/src/jasmineramp/mesh/observation.py
@@ -8,8 +8,6 @@
 from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import CallOutcome, RoutingState
 
-MIN_SERVER_ERROR_STATUS = 500
-
 
 class Observation:
     """Report the outcome of a call to routing, also when it is cancelled."""
@@ -40,8 +38,9 @@
 def outcome_of(result: CallResult) -> CallOutcome:
     """Return what the result of a call tells about its instance."""
     if isinstance(result, Answer):
-        failed = result.status >= MIN_SERVER_ERROR_STATUS
-        return CallOutcome.failed if failed else CallOutcome.succeeded
+        if result.is_server_error():
+            return CallOutcome.failed
+        return CallOutcome.succeeded
     if result.run is RunState.not_run and result.code is not (
         RefusalCode.upstream_lost
     ):
--- a/src/jasmineramp/mesh/responses.py
+++ b/src/jasmineramp/mesh/responses.py
@@ -7,6 +7,7 @@
 from jasmineramp.mesh.admitted_call import AdmittedCall
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import (
+    MIN_SERVER_ERROR,
     Answer,
     CallHead,
     CallResult,
@@ -17,7 +18,6 @@
 from jasmineramp.mesh.platform_binding import Dialect
 from jasmineramp.refusals import STATUS_BY_CODE, RefusalCode, RunState
 
-MIN_SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 # Calls wait less than this in queues, and restarted nodes are back by then.
 DEFAULT_RETRY_AFTER_MS = 400.0
