Keep the links of removed nodes until their calls have ended

Callers got 502, with the detail "link to the peer was lost", for calls at which the server was at work, while nodes were stopped and started as planned.

Cause: a node closed its link to a peer as soon as the peer's entry had been absent for 2.3 s. A stopped node ends its lease 1.6 s after SIGTERM; its next process writes an entry after the next announcement of its upstream, and the others learn of it up to 1.2 s later. In between the new process is connected again and runs calls, which the close cut off at both ends. The view of the directory ended work on a connection that was in order.

Change: a link whose entry is removed, or names another address, takes no new calls and closes after the last reply. It is still checked for liveness. member_gone tells how many replies are pending.

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -37,30 +37,35 @@
         self.log = log
         self.clock = clock
         self.directory = Directory()
+        # Links without an entry, which finish their requests before they close.
+        self.retired_links: list[PeerLink] = []
 
     def check_links(self) -> None:
-        """Ping silent peers and reconnect failed links."""
+        """Ping silent peers, reconnect failed links, close retired ones."""
         now = asyncio.get_running_loop().time()
         for link in self.links.values():
             link.check_liveness(now)
             if link.has_failed():
                 link.start_connecting()
+        for retired in list(self.retired_links):
+            retired.check_liveness(now)
+            if not retired.is_in_use():
+                retired.close()
+                self.retired_links.remove(retired)
 
     def expire(self) -> None:
         """Remove the nodes whose entries have expired."""
         expired = self.directory.expire(self.clock.now())
         for member in expired:
             routing.remove_instance(self.routes, member.node)
-            if member.node in self.links:
-                self.links.pop(member.node).close()
-                self._update_unreachable()
-            self.log.write('member_gone', member=member.node)
+            pending = self._retire_link(member.node)
+            self.log.write('member_gone', member=member.node, pending=pending)
         if expired:
             self._update_members()
 
     def close(self) -> None:
         """Close the links."""
-        for link in self.links.values():
+        for link in (*self.links.values(), *self.retired_links):
             link.close()
 
     def apply_entries(self, changed: Iterable[MemberEntry]) -> None:
@@ -97,8 +102,7 @@
         link = self.links.get(member.node)
         if link is not None and link.address == address:
             return
-        if link is not None:
-            link.close()
+        self._retire_link(member.node)
         self.links[member.node] = PeerLink(
             self.node,
             member.node,
@@ -107,6 +111,19 @@
             self._on_peer_change,
         )
 
+    def _retire_link(self, node: NodeId) -> int:
+        """Close a node's link after its requests; return their number.
+
+        A node without an entry may still be working on calls: the entry of its
+        next process can arrive after the removal of the old one.
+        """
+        link = self.links.pop(node, None)
+        if link is None:
+            return 0
+        self.retired_links.append(link)
+        self._update_unreachable()
+        return len(link.pending_replies)
+
     def _update_members(self) -> None:
         self.quotas.set_nodes(self.directory.members)
         self.retry_budget.set_nodes(len(self.directory.members))
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -184,6 +184,10 @@
         """Return whether the link is down after a loss or failed connect."""
         return not self.is_up() and self.failed_at > float('-inf')
 
+    def is_in_use(self) -> bool:
+        """Return whether requests wait for replies."""
+        return bool(self.pending_replies)
+
     def start_connecting(self) -> None:
         """Start connecting unless connected, connecting or in the delay."""
         now = asyncio.get_running_loop().time()
