Answer calls that wait for the link of a removed node

Callers got no response at all: the connection stayed open until they gave up.

Cause: closing a link cancelled its attempt to connect, and the cancellation went on to the calls that waited for it, whose tasks ended without a response. The same holds for the task that reads the table, which would end without a log line.

Change: a link that connects is in use, and a closed link refuses to send in place of dropping the frame, so that the call goes to another instance.

Run: test_call_that_waits_for_a_removed_link_gets_a_response failed before with CancelledError and passes.

Conclusion: a link is closed only when nothing waits for it.

--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -185,8 +185,8 @@
         return not self.is_up() and self.failed_at > float('-inf')
 
     def is_in_use(self) -> bool:
-        """Return whether requests wait for replies."""
-        return bool(self.pending_replies)
+        """Return whether requests wait for replies or for the connection."""
+        return bool(self.pending_replies) or self.connecting is not None
 
     def start_connecting(self) -> None:
         """Start connecting unless connected, connecting or in the delay."""
@@ -285,6 +285,7 @@
         if self.connecting is not None:
             self.connecting.cancel()
         if self.connection is not None:
+            self.connection.is_open = False
             self.connection.transport.close()
 
     async def _connect(self) -> None:
--- a/tests/mesh/test_fleet_view.py
+++ b/tests/mesh/test_fleet_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -10,7 +11,18 @@
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.directory import ABSENCE_GRACE_MS
 from jasmineramp.mesh.peer_links import PeerLink
-from tests.fakes.mesh import Fleet
+from tests.fakes.mesh import KEY, Fleet
+
+
+def make_request(request_id: str) -> CallerRequest:
+    """Return a caller's request that may run once."""
+    headers = [
+        (b'Host', b'a.example'),
+        (b'X-Jasmineramp-Request-Id', request_id.encode()),
+        (b'X-Jasmineramp-Deadline-Ms', b'3000'),
+        (b'X-Jasmineramp-Credential', KEY.encode()),
+    ]
+    return CallerRequest(b'GET', b'/buy/1', headers, b'')
 
 
 class LinkOfChangedMemberTest(unittest.IsolatedAsyncioTestCase):
@@ -45,6 +57,13 @@
         """Return the first node's link to the second."""
         return self.node.entry.links[self.peer.settings.node]
 
+    async def drop_connection(self, link: PeerLink) -> None:
+        """End the connection of a link as if it had never been made."""
+        await link.wait_until_up()
+        link.close()
+        await self.fleet.until(lambda: link.connection is None)
+        link.failed_at = float('-inf')
+
     def expire_peer(self) -> None:
         """Remove the second node as if its entry had been absent too long."""
         directory = self.node.fleet.directory
@@ -77,6 +96,33 @@
         self.node.fleet.apply_entries([moved])
         await self.finish(call)
 
+    # Guards against requests without any response, because the link for which
+    # they wait is closed while it connects.
+    async def test_call_that_waits_for_a_removed_link_gets_a_response(
+        self,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        link = self.find_link()
+        await self.drop_connection(link)
+        connecting = asyncio.Event()
+        connect = loop.create_connection
+
+        async def connect_late(*arguments: object) -> object:
+            connecting.set()
+            await self.released.wait()
+            return await connect(*arguments)  # type: ignore[call-overload]
+
+        with mock.patch.object(loop, 'create_connection', connect_late):
+            call = asyncio.create_task(
+                self.node.entry.handle(make_request('id-1'))
+            )
+            await connecting.wait()
+            self.expire_peer()
+            self.node.fleet.check_links()
+            self.released.set()
+            response = await call
+        self.assertEqual(response.status, 200)
+
     async def test_removed_node_gets_no_new_call(self) -> None:
         call = await self.start_call()
         self.expire_peer()
