Let requests outlive a cancelled attempt to connect

Callers could get no response, or a needless 503, when the link of a removed node was closed right after it had connected, and when a node ended while a call waited for a link.

Cause: a request awaited the attempt itself, so its cancellation went on to the request; and a link no longer counted as connecting in the moment between the end of the attempt and the next step of the request.

Change: requests are counted while they wait, and only wait for the end of the attempt.

--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -171,6 +171,8 @@
         self.on_change = on_change
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        # Requests that wait for the connection.
+        self.waiting = 0
         self.failed_at = float('-inf')
         self.pending_replies: dict[int, asyncio.Future[PeerFrame]] = {}
         self.next_stream = 0
@@ -186,7 +188,7 @@
 
     def is_in_use(self) -> bool:
         """Return whether requests wait for replies or for the connection."""
-        return bool(self.pending_replies) or self.connecting is not None
+        return bool(self.pending_replies) or self.waiting > 0
 
     def start_connecting(self) -> None:
         """Start connecting unless connected, connecting or in the delay."""
@@ -206,7 +208,12 @@
             return self.is_up()
         self.start_connecting()
         if self.connecting is not None:
-            await asyncio.shield(self.connecting)
+            self.waiting += 1
+            try:
+                # Unlike a plain await, this outlives a cancelled attempt.
+                await asyncio.wait((self.connecting,))
+            finally:
+                self.waiting -= 1
         return self.is_up()
 
     def send_request(
