Ignore what retired links report

Calls were kept away from an instance that was ready, until its next entry.

Cause: a process that ends says that its upstream drains, and the others believed that of the next process too if the link to the first was still open for calls in progress.

Change: a retired link delivers replies only.

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -120,6 +120,7 @@
         link = self.links.pop(node, None)
         if link is None:
             return 0
+        link.retire()
         self.retired_links.append(link)
         self._update_unreachable()
         return len(link.pending_replies)
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -286,9 +286,14 @@
             if not future.done():
                 future.set_exception(LinkLostError(self.peer))
 
+    def retire(self) -> None:
+        """Stop reporting changes; requests in progress go on."""
+        self.on_change = _ignore_change
+        self.on_state = _ignore_state
+
     def close(self) -> None:
         """Close the connection permanently and stop reporting changes."""
-        self.on_change = _ignore_change
+        self.retire()
         if self.connecting is not None:
             self.connecting.cancel()
         if self.connection is not None:
@@ -319,7 +324,11 @@
 
 
 def _ignore_change(_peer: NodeId, _reason: str) -> None:
-    """Ignore a change of a link that was closed."""
+    """Ignore a change of a link that was retired."""
+
+
+def _ignore_state(_frame: StateChanged) -> None:
+    """Ignore what a retired link reports about its upstream."""
 
 
 def _set_tcp_options(transport: asyncio.Transport) -> None:
