Admit the calls of running calls while a node stops

Callers got an error for calls that ran at the upstream of a stopping node, if the upstream made a call of its own later than 3.2 s after SIGTERM.

Cause: from then on the node refuses every call as "the node is stopping", before it looks for the call that makes it, although the stop waits for the running call for up to 5.16 s.

Change: a stopping node still admits a call whose id names a call that runs at its upstream. All other calls stay refused as not run. Table, route, key and deadline are checked as before.

Run: python -m unittest tests.mesh.test_caller_admission tests.mesh.test_graceful_stop tests.mesh.test_running_calls: 7 run, 7 passed.

Conclusion: a running call can still make calls until it ends. An upstream that does not name its calls after the running one is refused as before.

--- a/src/jasmineramp/mesh/caller_admission.py
+++ b/src/jasmineramp/mesh/caller_admission.py
@@ -68,7 +68,7 @@
             return not_run_failure(
                 RefusalCode.configuration_missing, 'no table has been loaded'
             )
-        if self.is_refusing:
+        if self.is_refusing and not self._is_made_by_running_call(head):
             return not_run_failure(RefusalCode.draining, 'the node is stopping')
         if not head.request_id:
             return Failure(
@@ -86,6 +86,10 @@
             workspace = authenticated
         return self._plan(request, head, route, workspace, received)
 
+    def _is_made_by_running_call(self, head: CallHead) -> bool:
+        """Return whether the id names a call that runs at the upstream."""
+        return self.running_calls.find_parent(head.request_id) is not None
+
     async def _authenticate(
         self, table: RouteTable, head: CallHead, now: Millis
     ) -> RankedWorkspace | Failure:
