Answer requests on new connections while a node stops

Callers got a reset connection in place of a response, if they connected to a stopping node later than 2.4 s after SIGTERM and their request was still on its way.

Cause: from then on the node closes the connections without a request every 50 ms, also those that it has accepted a moment ago.

Change: a connection on which no request has begun is spared for 500 ms (NEW_CONNECTION_ALLOWANCE_MS). The stop waits for it as for any connection of a caller. Connections that have served a request are closed as before.

Conclusion: a request that arrives within 500 ms after its connection is answered. A kept connection that is closed while its next request is on its way is not covered.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -26,6 +26,9 @@
 MAX_PIPELINED_REQUESTS = 16
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# A caller sends its first request right after connecting, and it is reset if
+# the connection is closed before the request is read.
+NEW_CONNECTION_ALLOWANCE_MS = 500
 # Sent while too little memory is free for a large body.
 _RETRY_AFTER = (b'Retry-After', b'0.5')
 _REASON_PHRASES = {
@@ -102,9 +105,9 @@
         self.is_draining = True
 
     def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+        """Close the connections without a request in progress or expected."""
         for connection in list(self.connections):
-            if not connection.is_busy() and not connection.is_reading_request():
+            if connection.is_idle():
                 connection.transport.close()
 
     def stop(self) -> None:
@@ -133,6 +136,7 @@
         self.is_closed = False
         self.is_rejected = False
         self.timeout_started = self.loop.time()
+        self.has_begun_request = False
         self.buffer = MessageBuffer(MAX_BODY_BYTES)
         self.reservation = Reservation(server.budget)
         # Bodies of the queued requests and the one in progress.
@@ -191,6 +195,7 @@
         """Start a request."""
         self._reset()
         self.buffer.start_exchange()
+        self.has_begun_request = True
         self.is_reading_head = True
         self.timeout_started = self.loop.time()
 
@@ -236,6 +241,12 @@
         if self.task is None:
             self._start_next()
 
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or expected soon."""
+        return not (
+            self.is_busy() or self.is_reading_request() or self.is_new()
+        )
+
     def is_busy(self) -> bool:
         """Return whether a request is queued or in progress."""
         return self.task is not None or bool(self.queue)
@@ -244,6 +255,13 @@
         """Return whether a request has been received only in part."""
         return self.is_reading_head or self.is_reading_body
 
+    def is_new(self) -> bool:
+        """Return whether the first request may still be on its way."""
+        if self.has_begun_request:
+            return False
+        age_s = self.loop.time() - self.timeout_started
+        return age_s * MILLIS_PER_SECOND < NEW_CONNECTION_ALLOWANCE_MS
+
     def expire(self, now: float, limits: CallerLimits) -> None:
         """Close the connection at the idle or the header timeout.
 
--- a/tests/mesh/test_caller_http.py
+++ b/tests/mesh/test_caller_http.py
@@ -4,8 +4,13 @@
 import gc
 import unittest
 import weakref
+from unittest import mock
 
-from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
+from jasmineramp.mesh.caller_http import (
+    NEW_CONNECTION_ALLOWANCE_MS,
+    CallerResponse,
+    CallerServer,
+)
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.receive_limits import MEBIBYTE, ReceiveBudget
 from jasmineramp.mesh.route_table import CallerLimits
@@ -138,3 +143,61 @@
             while self.server.connections:
                 await asyncio.sleep(0.01)
         writer.close()
+
+
+class DrainingServerTest(unittest.IsolatedAsyncioTestCase):
+    """Test a server that closes idle connections before its node ends."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = CallerServer(self.handle, CallerLimits)
+        await self.server.listen(HOST, 0)
+        self.addCleanup(self.server.stop)
+
+    async def handle(self, _request: CallerRequest) -> CallerResponse:
+        """Answer any request."""
+        return CallerResponse(200, [], b'done')
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect and return when the server has accepted."""
+        assert self.server.server is not None
+        port = self.server.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(DEADLINE_S):
+            while not self.server.connections:
+                await asyncio.sleep(0)
+        return reader, writer
+
+    # Guards against a reset in place of a response for the request that a
+    # caller sends on a new connection to a stopping node.
+    async def test_request_on_its_way_is_answered(self) -> None:
+        reader, writer = await self.connect()
+        self.server.drain()
+        self.server.close_idle()
+        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        async with asyncio.timeout(DEADLINE_S):
+            response = await reader.read()
+        self.assertIn(b' 200 ', response)
+        self.assertIn(b'Connection: close', response)
+        self.assertTrue(response.endswith(b'done'))
+
+    # Guards against silent connections that keep a stopping node from ending.
+    async def test_connection_that_stays_silent_is_closed(self) -> None:
+        reader, _ = await self.connect()
+        loop = asyncio.get_running_loop()
+        later_s = loop.time() + NEW_CONNECTION_ALLOWANCE_MS / 1000
+        with mock.patch.object(loop, 'time', return_value=later_s):
+            self.server.close_idle()
+        async with asyncio.timeout(DEADLINE_S):
+            self.assertEqual(await reader.read(), b'')
+
+    # Guards against kept connections that pass for new ones.
+    async def test_connection_after_a_response_is_closed_at_once(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        async with asyncio.timeout(DEADLINE_S):
+            await reader.readuntil(b'done')
+            self.server.close_idle()
+            self.assertEqual(await reader.read(), b'')
