Send the replies to peers before a stopping node ends

Callers could get 502 for a call that had run at the upstream of a stopping node, if its reply was long and their own node read it slowly.

Cause: the stop ends the node as soon as no call is open, and a call is no longer open when its reply is written. What the connection to the peer has not taken by then is in the write buffer of the process and is lost with it.

Change: a node is idle only when the write buffers of its connections from peers are empty, too. The drain limit of the grace period still bounds the stop.

Test before the change: test_reply_is_sent_before_the_node_ends failed with "4483787 != 0", the bytes of a reply of 8 MiB that were unsent when the stop returned. test_unread_reply_does_not_outlast_the_grace_period passed before, too.

Run: python -m unittest tests.mesh.test_graceful_stop: 5 run, 5 passed, also in five more runs, and in a trial on the event loop of uvloop, which the tests do not use otherwise. tests.mesh.test_node, test_caller_http, test_caller_admission, test_fleet_view, test_peer_messages and test_running_calls: 49 run, 49 passed.

Conclusion: a reply leaves the process before the node ends, or the grace period is nearly over. What the kernel still holds at the end of the process is not covered.

--- a/src/jasmineramp/mesh/graceful_stop.py
+++ b/src/jasmineramp/mesh/graceful_stop.py
@@ -31,6 +31,7 @@
         *,
         admission: CallerAdmission,
         withdraw_upstream: Callable[[], Awaitable[None]],
+        has_unsent_replies: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self.grace_ms = grace_ms
@@ -38,14 +39,23 @@
         self.gate = gate
         self.admission = admission
         self.withdraw_upstream = withdraw_upstream
+        self.has_unsent_replies = has_unsent_replies
         self.clock = clock
 
     def open_calls(self) -> int:
         """Return the number of calls in progress, here and at the upstream."""
         return self.caller_server.open_requests.count + self.gate.running()
 
+    def is_idle(self) -> bool:
+        """Return whether callers and peers have been sent every answer."""
+        return not (
+            self.open_calls()
+            or self.caller_server.connections
+            or self.has_unsent_replies()
+        )
+
     async def run(self, started: Millis) -> None:
-        """Return when no call is open or the grace period is nearly over."""
+        """Return when the node is idle or the grace period is nearly over."""
         self.caller_server.drain()
         drain_limit_ms = self.grace_ms * USABLE_GRACE_FRACTION
         while True:
@@ -59,11 +69,8 @@
                 self.admission.is_refusing = True
             if elapsed_ms > CALLER_CLOSE_DELAY_MS:
                 self.caller_server.close_idle()
-            is_idle = (
-                not self.open_calls() and not self.caller_server.connections
-            )
             if elapsed_ms > drain_limit_ms or (
-                is_idle and elapsed_ms > CALLER_CLOSE_DELAY_MS
+                self.is_idle() and elapsed_ms > CALLER_CLOSE_DELAY_MS
             ):
                 return
             await asyncio.sleep(POLL_S)
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -233,6 +233,7 @@
             self.gate,
             admission=self.admission,
             withdraw_upstream=self._withdraw_upstream,
+            has_unsent_replies=self.local_upstream.has_unsent_replies,
             clock=self.clock,
         )
         self.log.write('node_stopping', open=stop.open_calls())
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -91,6 +91,10 @@
         for session in self.sessions:
             session.write(frame)
 
+    def has_unsent_replies(self) -> bool:
+        """Return whether a reply to a peer is still in a write buffer."""
+        return any(session.has_unsent_bytes() for session in self.sessions)
+
     def _on_lost(self) -> None:
         self.log.write('upstream_lost', instance=self._instance_name())
         self._publish_state()
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -89,6 +89,10 @@
         if self.is_open:
             self.transport.write(encode_frame(frame))
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a frame is still in the write buffer."""
+        return self.is_open and self.transport.get_write_buffer_size() > 0
+
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         raise NotImplementedError
--- a/tests/mesh/test_graceful_stop.py
+++ b/tests/mesh/test_graceful_stop.py
@@ -2,17 +2,33 @@
 
 import asyncio
 import copy
+import socket
 import unittest
 from unittest import mock
 
+import msgspec
+
 from jasmineramp.clock import ORIGIN, ManualClock, Millis
+from jasmineramp.ids import NodeId, RowName, ServiceName, WorkspaceId
+from jasmineramp.mesh import graceful_stop
 from jasmineramp.mesh.caller_http import CallerResponse
-from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.calls import Answer, CallerRequest, UpstreamCall
 from jasmineramp.mesh.graceful_stop import (
     CALLER_CLOSE_DELAY_MS,
     POLL_S,
     GracefulStop,
 )
+from jasmineramp.mesh.peer_messages import (
+    LENGTH_PREFIX_BYTES,
+    PROTOCOL_VERSION,
+    Hello,
+    PeerFrame,
+    RunReply,
+    RunRequest,
+    decode_frame,
+    encode_frame,
+)
+from jasmineramp.mesh.receive_limits import MEBIBYTE
 from tests.fakes.mesh import CONFIGURATION, KEY, TIMEOUT_S, Fleet
 
 REQUEST = (
@@ -21,6 +37,29 @@
     b'X-Jasmineramp-Deadline-Ms: 3000\r\n'
     b'X-Jasmineramp-Credential: %s\r\n\r\n' % KEY.encode()
 )
+# More than the kernel takes of a reply whose peer does not read it.
+LONG_BODY_BYTES = 8 * MEBIBYTE
+PEER_BUFFER_BYTES = 65_536
+
+
+def make_call() -> UpstreamCall:
+    """Return a call as a peer sends it."""
+    return UpstreamCall(
+        'id-1',
+        b'GET',
+        b'/read/1',
+        [],
+        b'',
+        3000,
+        RowName('read'),
+        WorkspaceId('shop'),
+        ServiceName('orders'),
+        ServiceName('orders'),
+        '',
+        importance=2,
+        hop=0,
+        is_idempotent=True,
+    )
 
 
 class CallsOfUpstreamTest(unittest.IsolatedAsyncioTestCase):
@@ -75,6 +114,7 @@
             self.node.gate,
             admission=self.node.admission,
             withdraw_upstream=mock.AsyncMock(),
+            has_unsent_replies=lambda: False,
             clock=ManualClock(Millis(CALLER_CLOSE_DELAY_MS + 1)),
         )
 
@@ -110,3 +150,81 @@
         async with asyncio.timeout(TIMEOUT_S):
             await self.stop.run(ORIGIN)
             self.assertEqual(await reader.read(), b'')
+
+
+class UnsentReplyTest(unittest.IsolatedAsyncioTestCase):
+    """Test a node that stops while a peer is slow to read a large reply."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(1)
+        self.addAsyncCleanup(self.fleet.close)
+        self.node = self.fleet.nodes[0]
+        self.fleet.upstreams[0].behave = self.answer_at_length
+        self.reader, writer = await self.connect()
+        writer.write(encode_frame(Hello(NodeId('n9'), PROTOCOL_VERSION)))
+        writer.write(encode_frame(RunRequest(1, make_call())))
+        await self.fleet.until(lambda: self.count_unsent_bytes() > 0)
+        self.assertEqual(self.node.gate.running(), 0)
+        patch = mock.patch.object(graceful_stop, 'CALLER_CLOSE_DELAY_MS', 0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect as a peer that receives little without reading."""
+        peer = socket.socket()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PEER_BUFFER_BYTES)
+        peer.connect(self.node.settings.inbound)
+        peer.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=peer)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def answer_at_length(self, _request: CallerRequest) -> CallerResponse:
+        """Answer with a long body."""
+        return CallerResponse(200, [], bytes(LONG_BODY_BYTES))
+
+    def count_unsent_bytes(self) -> int:
+        """Return how many bytes for peers the end of the process loses."""
+        return sum(
+            session.transport.get_write_buffer_size()
+            for session in self.node.sessions
+        )
+
+    async def stop_node(self) -> int:
+        """Stop the node; return how many bytes the end of it loses."""
+        async with asyncio.timeout(TIMEOUT_S):
+            await self.node.stop()
+        return self.count_unsent_bytes()
+
+    async def read_frame(self) -> PeerFrame:
+        """Return the next frame that the peer receives."""
+        async with asyncio.timeout(TIMEOUT_S):
+            prefix = await self.reader.readexactly(LENGTH_PREFIX_BYTES)
+            size = int.from_bytes(prefix, 'big')
+            return decode_frame(await self.reader.readexactly(size))
+
+    # Guards against 502 for calls that have run, because the process ends while
+    # their replies are only partly sent.
+    async def test_reply_is_sent_before_the_node_ends(self) -> None:
+        stop = asyncio.create_task(self.stop_node())
+        await asyncio.sleep(4 * POLL_S)
+        reply = await self.read_frame()
+        self.assertEqual(await stop, 0)
+        assert isinstance(reply, RunReply)
+        assert isinstance(reply.result, Answer)
+        self.assertEqual(len(reply.result.body), LONG_BODY_BYTES)
+
+    # Guards against a peer that does not read and so keeps a node from ending.
+    async def test_unread_reply_does_not_outlast_the_grace_period(
+        self,
+    ) -> None:
+        bounds = msgspec.structs.replace(
+            self.node.settings.bounds, grace_ms=10 * POLL_S * 1000
+        )
+        self.node.reload(
+            msgspec.structs.replace(self.node.settings, bounds=bounds)
+        )
+        self.assertGreater(await self.stop_node(), 0)
