Tell peers that connect late that a node stops

Calls were refused by a stopping node again and again until it ended, and the last one could be lost with the connection: 502 for a call that was only on its way.

Cause: the notice goes to the connections that exist when the upstream is withdrawn. A node that connects afterwards missed it, and the load reports of the stopping node went on to call it healthy, so it stayed in the choice while its entry was absent.

Change: a node that refuses calls says so to each peer that connects, and its load reports are not healthy.

Run: test_peer_that_connects_late_learns_of_the_stop and test_load_report_of_a_stopping_node_is_not_healthy failed before (timeout; True is not false); test_graceful_stop, test_fleet_view and test_peer_links: 19 pass.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -113,9 +113,13 @@
             queued + excess_calls,
             admission.capacity(state),
             admission.shed_level(state, self.clock.now()),
-            self.record.is_ready(),
+            self.accepts_calls(),
         )
 
+    def accepts_calls(self) -> bool:
+        """Return whether new calls may run at the upstream."""
+        return self.record.is_ready() and not self.is_node_stopping
+
     def has_room(self, load: LoadReport) -> bool:
         """Return whether slots are free, here and further down."""
         return not load.queued and self.pressure.has_room()
@@ -187,11 +191,7 @@
 
     def _refuse_early(self, call: UpstreamCall) -> Failure | None:
         current = self.record.current
-        if (
-            current is None
-            or not self.record.is_ready()
-            or self.is_node_stopping
-        ):
+        if current is None or not self.accepts_calls():
             return not_run_failure(
                 RefusalCode.draining, 'upstream does not accept calls'
             )
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -254,6 +254,10 @@
         self.gate.pool.close()
         self.log.flush()
 
+    def greet_peer(self, session: PeerSession) -> None:
+        """Tell a peer that has just connected if calls are refused."""
+        self.local_upstream.greet_peer(session)
+
     def run_for_peer(self, session: PeerSession, frame: RunRequest) -> None:
         """Run a call received from a peer at the upstream of this VM."""
         loop = asyncio.get_running_loop()
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -87,14 +87,21 @@
 
     def notify_peers(self, state: UpstreamState) -> None:
         """Send the state of the upstream to all connected peers."""
-        frame = StateChanged(self.settings.node, self._instance_name(), state)
         for session in self.sessions:
-            session.write(frame)
+            session.write(self._state_frame(state))
+
+    def greet_peer(self, session: PeerSession) -> None:
+        """Tell a new peer if calls are refused; it missed the notice."""
+        if not self.gate.accepts_calls():
+            session.write(self._state_frame(UpstreamState.draining))
 
     def has_unsent_replies(self) -> bool:
         """Return whether a reply to a peer is still in a write buffer."""
         return any(session.has_unsent_bytes() for session in self.sessions)
 
+    def _state_frame(self, state: UpstreamState) -> StateChanged:
+        return StateChanged(self.settings.node, self._instance_name(), state)
+
     def _on_lost(self) -> None:
         self.log.write('upstream_lost', instance=self._instance_name())
         self._publish_state()
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -1,6 +1,7 @@
 """Exchange frames with the nodes of other VMs over TCP."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -46,6 +47,9 @@
 class PeerRequestHandler(Protocol):
     """Handle the requests that peers send to this node."""
 
+    def greet_peer(self, session: 'PeerSession') -> None:
+        """Tell a peer that has just connected what it may not know yet."""
+
     def run_for_peer(self, session: 'PeerSession', frame: RunRequest) -> None:
         """Run a call at the upstream of this VM."""
 
@@ -123,6 +127,8 @@
             case Hello() if frame.version != PROTOCOL_VERSION:
                 # The peer marks this node unreachable and calls other nodes.
                 self.transport.abort()
+            case Hello():
+                self.handler.greet_peer(self)
             case RunRequest():
                 self.handler.run_for_peer(self, frame)
             case Cancel():
@@ -175,8 +181,8 @@
         self.on_change = on_change
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
-        # Requests that wait for the connection.
-        self.waiting = 0
+        # One for each request that waits for the connection.
+        self.waiters: set[object] = set()
         self.failed_at = float('-inf')
         self.pending_replies: dict[int, asyncio.Future[PeerFrame]] = {}
         self.next_stream = 0
@@ -192,7 +198,7 @@
 
     def is_in_use(self) -> bool:
         """Return whether requests wait for replies or for the connection."""
-        return bool(self.pending_replies) or self.waiting > 0
+        return bool(self.pending_replies or self.waiters)
 
     def start_connecting(self) -> None:
         """Start connecting unless connected, connecting or in the delay."""
@@ -212,12 +218,12 @@
             return self.is_up()
         self.start_connecting()
         if self.connecting is not None:
-            self.waiting += 1
-            try:
+            with contextlib.ExitStack() as stack:
+                waiter = object()
+                self.waiters.add(waiter)
+                stack.callback(self.waiters.discard, waiter)
                 # Unlike a plain await, this outlives a cancelled attempt.
                 await asyncio.wait((self.connecting,))
-            finally:
-                self.waiting -= 1
         return self.is_up()
 
     def send_request(
--- a/tests/mesh/test_graceful_stop.py
+++ b/tests/mesh/test_graceful_stop.py
@@ -152,6 +152,41 @@
             self.assertEqual(await reader.read(), b'')
 
 
+class LatePeerTest(unittest.IsolatedAsyncioTestCase):
+    """Test a node that connects to a peer whose upstream is withdrawn."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(2)
+        self.addAsyncCleanup(self.fleet.close)
+        self.node, self.peer = self.fleet.nodes
+        self.name = self.peer.settings.node
+
+    def is_ready(self) -> bool:
+        """Return whether the first node would choose the peer's upstream."""
+        return self.node.routes.targets[self.name].is_ready()
+
+    # Guards against calls that a stopping node refuses until it ends, and whose
+    # last one is lost with the connection.
+    async def test_peer_that_connects_late_learns_of_the_stop(self) -> None:
+        self.peer.gate.is_node_stopping = True
+        self.assertTrue(self.is_ready())
+        self.assertTrue(await self.node.entry.links[self.name].wait_until_up())
+        await self.fleet.until(lambda: not self.is_ready())
+
+    async def test_peer_of_a_ready_node_keeps_its_state(self) -> None:
+        self.assertTrue(await self.node.entry.links[self.name].wait_until_up())
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 200)
+        self.assertTrue(self.is_ready())
+
+    # Guards against load reports of a stopping node that invite more calls.
+    async def test_load_report_of_a_stopping_node_is_not_healthy(self) -> None:
+        self.assertTrue(self.peer.gate.load().healthy)
+        self.peer.gate.is_node_stopping = True
+        self.assertFalse(self.peer.gate.load().healthy)
+
+
 class UnsentReplyTest(unittest.IsolatedAsyncioTestCase):
     """Test a node that stops while a peer is slow to read a large reply."""
 
