--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -111,6 +111,10 @@
         if reply.outcome is not StoreOutcome.done:
             return reachable
         item = reply.items[0]
+        if item.revision < self.revision:
+            self.log.write(
+                'table_refused', revision=item.revision, known=self.revision
+            )
         self.apply_table(item.revision, item.value or b'', sent)
         return True
 
