--- a/bench/metadata_store.py
+++ b/bench/metadata_store.py
@@ -2,18 +2,31 @@
 
 import asyncio
 import base64
+import copy
 import enum
 import itertools
 import json
 from http import HTTPStatus
+from typing import NamedTuple
 from urllib.parse import parse_qs, unquote
 
 from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
-from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.calls import CallerRequest, Headers
 from jasmineramp.mesh.route_table import CallerLimits
 
 LARGEST_PAGE = 500
 LEAST_TTL_MS = 1000
+ERA_HEADER = b'Store-Era'
+
+
+class Backup(NamedTuple):
+    """Hold what a copy of the store contains."""
+
+    revision: int
+    items: dict[str, dict[str, object]]
+    history: list[dict[str, object]]
+    compacted: int
+    leases: dict[int, tuple[float, float]]
 
 
 class Fault(enum.Enum):
@@ -30,6 +43,7 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 0
         self.items: dict[str, dict[str, object]] = {}
         self.history: list[dict[str, object]] = []
         self.compacted = 0
@@ -61,6 +75,10 @@
         self.items[key] = item
         self._record(item)
 
+    def read(self, item: dict[str, object]) -> bytes:
+        """Return the value of an item."""
+        return base64.b64decode(str(item['value']))
+
     def remove(self, key: str) -> None:
         """Delete an item."""
         if self.items.pop(key, None) is not None:
@@ -75,6 +93,32 @@
         self.history.clear()
         self._wake()
 
+    def back_up(self) -> Backup:
+        """Return a copy of the present state."""
+        return copy.deepcopy(
+            Backup(
+                self.revision,
+                self.items,
+                self.history,
+                self.compacted,
+                self.leases,
+            )
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Return to a copy, in a new era; revisions are given out again."""
+        (
+            self.revision,
+            self.items,
+            self.history,
+            self.compacted,
+            self.leases,
+        ) = copy.deepcopy(backup)
+        self.era += 1
+        for connection in list(self.server.connections):
+            connection.transport.abort()
+        self._wake()
+
     def expire(self) -> None:
         """End the leases that have run out."""
         now = asyncio.get_running_loop().time()
@@ -89,7 +133,7 @@
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.fault is Fault.busy:
-            return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, [])
+            return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, self._era())
         if self.fault is Fault.silent:
             await asyncio.Event().wait()
         path, _, query = request.target.decode().partition('?')
@@ -98,7 +142,10 @@
         status, answer = await self._answer(path, fields, body)
         if self.fault is Fault.lost_writes and request.method != b'GET':
             await asyncio.Event().wait()
-        return CallerResponse(status, [], json.dumps(answer).encode())
+        return CallerResponse(status, self._era(), json.dumps(answer).encode())
+
+    def _era(self) -> Headers:
+        return [(ERA_HEADER, str(self.era).encode())]
 
     async def _answer(
         self, path: str, fields: dict[str, str], body: dict[str, object]
@@ -147,7 +194,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_ms / 1000
         while True:
-            if after < self.compacted:
+            if not self.compacted <= after <= self.revision:
                 return 410, {}
             events = [
                 each
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -145,7 +145,7 @@
         self.configure(configuration or CONFIGURATION)
         for number in range(count):
             await self.add(number)
-        await self.until(self._is_complete)
+        await self.until(self.is_complete)
 
     async def add(self, number: int) -> None:
         """Start a node and its upstream."""
@@ -237,7 +237,8 @@
         self.stack.close()
         await asyncio.sleep(0)
 
-    def _is_complete(self) -> bool:
+    def is_complete(self) -> bool:
+        """Return whether every node knows the table and all instances."""
         return all(
             len(node.routes.targets) == len(self.nodes)
             and node.admission.table is not None
