Order the revisions of the store by its eras

After the store had returned from an older copy, callers got 503 for seconds, and an acknowledged route was not served, or a request was handled by the version before.

Cause: the order of everything read from the store was that of its revisions alone, and the store gives them out again. A table at a lower revision neither replaced nor confirmed the one in force; one at the very revision that a node knew was taken for the one it had. Lists and entries at lower revisions were ignored, and the watch went round in circles with 410. Entries that the store had lost, or had back in an older form, were not written again before the lease was due. The class of fault: an order that holds within one life of a store is used across two.

Evidence: table_refused in, 91 times with revision 31 where 32 was known, until version 12 was written at 32 and nothing changed any more.

Change: the client of the store reads the era of each response and puts it in front of the number, so that all comparisons of revisions hold. On a new era it ends calls that wait, conditions on earlier revisions conflict, and a node takes a new lease and writes its entry again. Tables have a serial from their version: an older one is neither used nor a confirmation (table_outdated). Frames between nodes carry the eras behind the fields of the release before.

Not shown: an operator who writes the lost version much later; keys are then refused.

--- a/bench/metadata_store.py
+++ b/bench/metadata_store.py
@@ -133,7 +133,9 @@
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.fault is Fault.busy:
-            return CallerResponse(HTTPStatus.SERVICE_UNAVAILABLE, self._era())
+            return CallerResponse(
+                HTTPStatus.SERVICE_UNAVAILABLE, self.era_headers()
+            )
         if self.fault is Fault.silent:
             await asyncio.Event().wait()
         path, _, query = request.target.decode().partition('?')
@@ -142,9 +144,12 @@
         status, answer = await self._answer(path, fields, body)
         if self.fault is Fault.lost_writes and request.method != b'GET':
             await asyncio.Event().wait()
-        return CallerResponse(status, self._era(), json.dumps(answer).encode())
+        return CallerResponse(
+            status, self.era_headers(), json.dumps(answer).encode()
+        )
 
-    def _era(self) -> Headers:
+    def era_headers(self) -> Headers:
+        """Return the header that each response has."""
         return [(ERA_HEADER, str(self.era).encode())]
 
     async def _answer(
@@ -154,7 +159,9 @@
             case ['kv-key']:
                 return self._get(fields['key'])
             case ['kv-range']:
-                return self._range(fields['prefix'], fields.get('after', ''))
+                return self.answer_range(
+                    fields['prefix'], fields.get('after', '')
+                )
             case ['kv-watch']:
                 return await self._watch(
                     fields['prefix'],
@@ -178,7 +185,10 @@
             return 404, {'currentRev': self.revision}
         return 200, {**item, 'currentRev': self.revision}
 
-    def _range(self, prefix: str, after: str) -> tuple[int, dict[str, object]]:
+    def answer_range(
+        self, prefix: str, after: str
+    ) -> tuple[int, dict[str, object]]:
+        """Return the status and a page of items after a key."""
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
         )
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from jasmineramp.ids import NodeId, Revision, WorkspaceId
+from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
@@ -84,11 +84,16 @@
 
 
 class UpdateRequest(Frame, tag=10):
-    """Ask the leader of the domain for a newer table and directory."""
+    """Ask the leader of the domain for a newer table and directory.
+
+    Revisions travel as the numbers of the store, with their eras apart.
+    """
 
     stream: int
-    table_revision: Revision
-    directory_revision: Revision
+    table_revision: int
+    directory_revision: int
+    table_era: int = 0
+    directory_era: int = 0
 
 
 class UpdateReply(Frame, tag=11):
@@ -96,16 +101,19 @@
 
     The table is empty if the requested revision is current. `table_age_ms`
     is the time since the table was known to be the newest. The items are the
-    changes since the requested revision, or all items if `is_full`.
+    changes since the requested revision, or all items if `is_full`. Their
+    revisions are numbers of `directory_era`.
     """
 
     stream: int
-    table_revision: Revision
+    table_revision: int
     table_age_ms: float
     table: bytes
-    directory_revision: Revision
+    directory_revision: int
     items: tuple[StoreItem, ...]
     is_full: bool
+    table_era: int = 0
+    directory_era: int = 0
 
 
 PeerFrame = (
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -45,6 +45,7 @@
         self.written: MemberEntry | None = None
         self.revision = Revision(0)
         self.lease = 0
+        self.era = store.era
         self.renewed_at = Millis(float('-inf'))
         self.valid_until = Millis(float('-inf'))
         self.is_restored = False
@@ -94,8 +95,13 @@
         if not self.is_restored:
             if not await self._restore():
                 return self.backoff.next()
+            self.era = self.store.era
             if not self.revision:
                 return FIRST_ENTRY_WAIT_MS
+        if self.era != self.store.era:
+            # The entry and the lease may be lost, or back in an older form.
+            self.era = self.store.era
+            self._lose_lease('the store returned from an older copy')
         if not self.lease:
             reply = await self.store.grant_lease(LEASE_TTL_MS)
             if reply.outcome is not StoreOutcome.done:
@@ -114,6 +120,8 @@
             if reply.outcome is not StoreOutcome.done:
                 return self.backoff.next()
             self.renewed_at = renewal_sent
+            if self.era != self.store.era:
+                return 0.001
         self.backoff.reset()
         self.valid_until = Millis(self.renewed_at + LEASE_TTL_MS)
         return max(
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -10,14 +10,21 @@
 
 from collections.abc import Iterator
 
+from msgspec.structs import replace
+
 from jasmineramp.clock import Clock, Millis, later
-from jasmineramp.ids import DomainId, NodeId
+from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.mesh.directory import Directory
 from jasmineramp.mesh.directory_watch import DirectoryWatch
 from jasmineramp.mesh.peer_calls import ask_peer
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import UpdateReply, UpdateRequest
 from jasmineramp.mesh.quotas import OwnerLookup
+from jasmineramp.mesh.store_revisions import (
+    era_of,
+    make_revision,
+    number_of,
+)
 from jasmineramp.mesh.table_watch import TableWatch
 
 # Many times the round-trip time within a failure domain.
@@ -84,17 +91,24 @@
     def answer(self, frame: UpdateRequest) -> UpdateReply:
         """Return the table and entries newer than a node's revisions."""
         table = self.table_watch
-        is_full, items = self.directory_watch.items_since(
-            frame.directory_revision
+        table_known = make_revision(frame.table_era, frame.table_revision)
+        directory = self.directory_watch
+        is_full, items = directory.items_since(
+            make_revision(frame.directory_era, frame.directory_revision)
         )
         return UpdateReply(
             frame.stream,
-            table.revision,
+            number_of(table.revision),
             table.freshness.age(self.clock.now()),
-            table.content if table.revision > frame.table_revision else b'',
-            self.directory_watch.revision,
-            items,
+            table.content if table.revision > table_known else b'',
+            number_of(directory.revision),
+            tuple(
+                replace(item, revision=Revision(number_of(item.revision)))
+                for item in items
+            ),
             is_full,
+            era_of(table.revision),
+            era_of(directory.revision),
         )
 
     async def ask(self) -> bool:
@@ -157,17 +171,30 @@
         # difference of the two clocks: the source measured its age after the
         # request.
         confirmed_at = Millis(asked - update.table_age_ms)
+        table_revision = make_revision(update.table_era, update.table_revision)
         if not self.table_watch.apply_table(
-            update.table_revision, update.table, confirmed_at
+            table_revision, update.table, confirmed_at
         ):
             return False
+        era = update.directory_era
         self.directory_watch.apply_changes(
-            update.directory_revision, update.items, is_full=update.is_full
+            make_revision(era, update.directory_revision),
+            tuple(
+                replace(item, revision=make_revision(era, item.revision))
+                for item in update.items
+            ),
+            is_full=update.is_full,
         )
         self.last_reply = self.clock.now()
         return True
 
     def _request(self, stream: int) -> UpdateRequest:
+        table_revision = self.table_watch.revision
+        directory_revision = self.directory_watch.revision
         return UpdateRequest(
-            stream, self.table_watch.revision, self.directory_watch.revision
+            stream,
+            number_of(table_revision),
+            number_of(directory_revision),
+            era_of(table_revision),
+            era_of(directory_revision),
         )
--- a/src/jasmineramp/mesh/route_table.py
+++ b/src/jasmineramp/mesh/route_table.py
@@ -68,7 +68,10 @@
 
 
 class RouteTable:
-    """Find the route of a request and the workspace of an API key."""
+    """Find the route of a request and the workspace of an API key.
+
+    `serial` grows with each version.
+    """
 
     def __init__(
         self,
@@ -79,9 +82,11 @@
         workspaces: Mapping[WorkspaceId, RankedWorkspace] | None = None,
         keys: tuple[KeyRow, ...] = (),
         limits: CallerLimits | None = None,
+        serial: int = 0,
     ) -> None:
         self.revision = revision
         self.version = version
+        self.serial = serial
         self.routes = routes
         self.workspaces = workspaces or {}
         self.has_workspaces = bool(self.workspaces)
--- a/src/jasmineramp/mesh/store.py
+++ b/src/jasmineramp/mesh/store.py
@@ -36,6 +36,7 @@
 class StoreReply(msgspec.Struct, frozen=True, gc=False):
     """Hold the reply to a call; `revision` is of the store or of the write.
 
+    Revisions of a later era are greater than all before (store_revisions).
     `lease` is the lease that was granted, or that of the item that was read.
     """
 
@@ -50,10 +51,12 @@
 class Store(Protocol):
     """Read, write and watch keys; failures are outcomes, never exceptions.
 
-    `counts` holds the number of calls by kind and outcome.
+    `counts` holds the number of calls by kind and outcome. `era` rises when the
+    store returns from an older copy: what was written since the copy is lost.
     """
 
     counts: Counter[tuple[str, str]]
+    era: int
 
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -10,6 +10,7 @@
 from jasmineramp.mesh.route_table import RouteTable
 from jasmineramp.mesh.store import Store, StoreOutcome
 from jasmineramp.mesh.store_pauses import Backoff
+from jasmineramp.mesh.store_revisions import era_of, number_of
 
 # Fraction of the apply bound. A new table takes effect after at most one
 # interval and one read.
@@ -61,6 +62,7 @@
         self.clock = clock
         self.revision = Revision(0)
         self.content = b''
+        self.serial = 0
         self.ask_leader: Callable[[], Awaitable[bool]] = _no_leader
         self.is_candidate: Callable[[], bool] = _is_always_candidate
         self.failed_at = Millis(float('-inf'))
@@ -113,7 +115,11 @@
         item = reply.items[0]
         if item.revision < self.revision:
             self.log.write(
-                'table_refused', revision=item.revision, known=self.revision
+                'table_refused',
+                revision=number_of(item.revision),
+                era=era_of(item.revision),
+                known=number_of(self.revision),
+                known_era=era_of(self.revision),
             )
         self.apply_table(item.revision, item.value or b'', sent)
         return True
@@ -126,10 +132,12 @@
         Return whether the node now has that table. The content may be empty
         if the node already has the revision.
         """
-        if revision > self.revision and not self._load(revision, content):
-            return False
         if revision < self.revision:
             return False
+        is_changed = revision > self.revision and content != self.content
+        if is_changed and not self._load(revision, content):
+            return False
+        self.revision = revision
         self.freshness.record_confirmation(confirmed_at)
         return True
 
@@ -138,13 +146,29 @@
             table = self.decode(content, revision)
         except ValueError as error:
             self.log.write(
-                'table_unreadable', revision=revision, error=str(error)
+                'table_unreadable',
+                revision=number_of(revision),
+                era=era_of(revision),
+                error=str(error),
             )
             return False
-        self.revision = revision
+        if table.serial < self.serial:
+            # The store returned from an older copy, and the operator has not
+            # written the later version again yet.
+            self.log.write(
+                'table_outdated',
+                revision=number_of(revision),
+                era=era_of(revision),
+                version=table.version,
+            )
+            return False
+        self.serial = table.serial
         self.content = content
         self.on_table(table)
         self.log.write(
-            'table_in_force', revision=revision, version=table.version
+            'table_in_force',
+            revision=number_of(revision),
+            era=era_of(revision),
+            version=table.version,
         )
         return True
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -95,6 +95,7 @@
         workspaces=dict(_read_workspaces(wire.tenants)),
         keys=tuple(_read_keys(wire.tenants)),
         limits=limits,
+        serial=int(wire.version, 16),
     )
 
 
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -18,6 +18,7 @@
     MessageBuffer,
 )
 from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
+from jasmineramp.mesh.store_revisions import era_of, make_revision, number_of
 from jasmineramp.platform.wire_values import write_duration_ms
 
 CONNECT_TIMEOUT_S = 0.5
@@ -25,6 +26,8 @@
 ANSWER_TIMEOUT_S = 0.9
 WATCH_MARGIN_S = 1.0
 MAX_IDLE_CONNECTIONS = 4
+# Rises by one each time the store returns from an older copy.
+_ERA_HEADER = b'store-era'
 
 _OUTCOMES = {
     200: StoreOutcome.done,
@@ -59,10 +62,19 @@
     value: str = ''
 
 
+_Converter = Callable[[_WireReply, int], StoreReply]
+_OTHER_ERA = 'the store returned from an older copy'
 _decoder = msgspec.json.Decoder(_WireReply)
 _encoder = msgspec.json.Encoder()
 
 
+class _WireResponse(msgspec.Struct):
+    status: int
+    content: bytes
+    # None in a response that does not tell it.
+    era: int | None
+
+
 class _NotSentError(Exception):
     """Report that a call was not sent."""
 
@@ -76,7 +88,8 @@
 
     def __init__(self, max_reply_bytes: int) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.future: asyncio.Future[tuple[int, bytes]] | None = None
+        self.future: asyncio.Future[_WireResponse] | None = None
+        self.era: int | None = None
         self.buffer = MessageBuffer(max_reply_bytes)
         self.is_open = False
         self.keep_alive = True
@@ -96,8 +109,8 @@
                 _AnswerLostError(f'connection lost: {exc}')
             )
 
-    def send(self, data: bytes) -> 'asyncio.Future[tuple[int, bytes]]':
-        """Send a call; return the future of status and body."""
+    def send(self, data: bytes) -> 'asyncio.Future[_WireResponse]':
+        """Send a call; return the future of its response."""
         self.future = asyncio.get_running_loop().create_future()
         self.buffer.start_exchange()
         self.transport.write(data)
@@ -124,6 +137,12 @@
             self.keep_alive = False
             self.transport.abort()
         self.buffer.start_message()
+        self.era = None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store the era."""
+        if name.lower() == _ERA_HEADER and value.isdigit():
+            self.era = int(value)
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
@@ -136,7 +155,9 @@
             return
         self.keep_alive = self.parser.should_keep_alive()
         if self.future is not None and not self.future.done():
-            self.future.set_result((status, self.buffer.take_body()))
+            self.future.set_result(
+                _WireResponse(status, self.buffer.take_body(), self.era)
+            )
 
     def _abort(self, reason: str) -> None:
         self.keep_alive = False
@@ -148,7 +169,8 @@
 class StoreClient:
     """Call the store; failures are outcomes of replies, never exceptions.
 
-    `counts` holds the number of calls by kind and outcome.
+    `counts` holds the number of calls by kind and outcome, `era` the highest
+    era that a response has told.
     """
 
     def __init__(
@@ -158,7 +180,9 @@
         self.port = port
         self.max_reply_bytes = STORE_REPLY_VALUES * value_bytes
         self.idle: list[_StoreConnection] = []
+        self.busy: set[_StoreConnection] = set()
         self.counts: Counter[tuple[str, str]] = Counter()
+        self.era = 0
 
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
@@ -171,6 +195,7 @@
         base = f'/kv-range?prefix={prefix}&serializable={int(stale)}'
         items: list[StoreItem] = []
         reply = await self._call('list', 'GET', base, convert=_convert_list)
+        era = era_of(reply.revision)
         while reply.has_more and reply.items:
             items.extend(reply.items)
             after = quote(reply.items[-1].key, safe='')
@@ -179,6 +204,8 @@
             )
         if reply.outcome is not StoreOutcome.done:
             return reply
+        if era_of(reply.revision) != era:
+            return StoreReply(StoreOutcome.not_done, detail=_OTHER_ERA)
         items.extend(reply.items)
         return StoreReply(StoreOutcome.done, reply.revision, tuple(items))
 
@@ -186,25 +213,33 @@
         self, prefix: str, after: Revision, wait_ms: float
     ) -> StoreReply:
         """Return changes after a revision, waiting at most wait_ms for one."""
+        if era_of(after) < self.era:
+            return StoreReply(StoreOutcome.compacted, detail=_OTHER_ERA)
         path = (
-            f'/kv-watch?prefix={quote(prefix, safe="")}&after={after}'
-            f'&waitMs={int(wait_ms)}'
+            f'/kv-watch?prefix={quote(prefix, safe="")}'
+            f'&after={number_of(after)}&waitMs={int(wait_ms)}'
         )
         watch_timeout_s = wait_ms / MILLIS_PER_SECOND + WATCH_MARGIN_S
-        return await self._call(
+        reply = await self._call(
             'watch',
             'GET',
             path,
             convert=_convert_events,
             timeout_s=watch_timeout_s,
         )
+        if era_of(after) < self.era:
+            # Changes before the events may be missing.
+            return StoreReply(StoreOutcome.compacted, detail=_OTHER_ERA)
+        return reply
 
     async def put(
         self, key: str, value: bytes, expected: Revision, lease: int
     ) -> StoreReply:
         """Write a key if its revision is as expected, 0 for an absent key."""
+        if expected and era_of(expected) < self.era:
+            return StoreReply(StoreOutcome.conflict, detail=_OTHER_ERA)
         body = {
-            'precondition': [{'key': key, 'revision': expected}],
+            'precondition': [{'key': key, 'revision': number_of(expected)}],
             'puts': [
                 {
                     'key': key,
@@ -218,8 +253,10 @@
 
     async def delete(self, key: str, expected: Revision) -> StoreReply:
         """Delete a key if its revision is the expected one."""
+        if era_of(expected) < self.era:
+            return StoreReply(StoreOutcome.conflict, detail=_OTHER_ERA)
         body = {
-            'precondition': [{'key': key, 'revision': expected}],
+            'precondition': [{'key': key, 'revision': number_of(expected)}],
             'puts': [],
             'deletes': [key],
         }
@@ -250,12 +287,12 @@
         path: str,
         body: object = None,
         *,
-        convert: 'Callable[[_WireReply], StoreReply] | None' = None,
+        convert: _Converter | None = None,
         timeout_s: float | None = None,
     ) -> StoreReply:
         """Send and count a call; a read without an answer is not_done."""
         try:
-            status, content = await self._exchange(
+            response = await self._exchange(
                 method, path, body, timeout_s or ANSWER_TIMEOUT_S
             )
         except _NotSentError as error:
@@ -268,13 +305,25 @@
             )
             reply = StoreReply(lost_outcome, detail=str(error))
         else:
-            reply = _read_reply(status, content, convert or _convert_write)
+            era = self._observe_era(response.era)
+            reply = _read_reply(response, era, convert or _convert_write)
         self.counts[kind, reply.outcome.value] += 1
         return reply
 
+    def _observe_era(self, era: int | None) -> int:
+        """Return the era of a response; end older calls if it is a new one."""
+        if era is None:
+            return self.era
+        if era > self.era:
+            self.era = era
+            # They may wait for a state that the store no longer has.
+            for connection in self.busy:
+                connection.transport.abort()
+        return era
+
     async def _exchange(
         self, method: str, path: str, body: object, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> _WireResponse:
         connection = self._take_idle() or await self._connect()
         content = b'' if body is None else _encoder.encode(body)
         head = (
@@ -283,9 +332,10 @@
             f'Content-Length: {len(content)}\r\n\r\n'
         )
         reply = connection.send(head.encode() + content)
+        self.busy.add(connection)
         try:
             async with asyncio.timeout(timeout_s):
-                status, answer = await reply
+                response = await reply
         except TimeoutError:
             # The answer may still arrive, so the connection can't be reused.
             connection.transport.abort()
@@ -293,11 +343,13 @@
         except asyncio.CancelledError:
             connection.transport.abort()
             raise
+        finally:
+            self.busy.discard(connection)
         if connection.keep_alive and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
         else:
             connection.transport.close()
-        return status, answer
+        return response
 
     def _take_idle(self) -> _StoreConnection | None:
         while self.idle:
@@ -321,66 +373,68 @@
 
 
 def _read_reply(
-    status: int, content: bytes, convert: 'Callable[[_WireReply], StoreReply]'
+    response: _WireResponse, era: int, convert: _Converter
 ) -> StoreReply:
+    status = response.status
     outcome = _OUTCOMES.get(status, StoreOutcome.unknown)
     detail = '' if status == 200 else f'HTTP status {status}'  # noqa: PLR2004
-    if outcome is not StoreOutcome.done and not content:
+    if outcome is not StoreOutcome.done and not response.content:
         return StoreReply(outcome, detail=detail)
     try:
-        wire = _decoder.decode(content)
+        wire = _decoder.decode(response.content)
         if outcome is StoreOutcome.done:
-            return convert(wire)
-        items = _read_items(wire.items)
+            return convert(wire, era)
+        items = _read_items(wire.items, era)
     except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
         if outcome is StoreOutcome.done:
             return StoreReply(StoreOutcome.unknown, detail=str(error))
         return StoreReply(outcome, detail=detail)
-    return StoreReply(outcome, Revision(wire.current_rev), items, detail=detail)
+    revision = make_revision(era, wire.current_rev)
+    return StoreReply(outcome, revision, items, detail=detail)
 
 
-def _convert_item(wire: _WireReply) -> StoreReply:
+def _convert_item(wire: _WireReply, era: int) -> StoreReply:
     item = StoreItem(
         wire.key,
-        Revision(wire.revision),
+        make_revision(era, wire.revision),
         base64.b64decode(wire.value, validate=True),
     )
     return StoreReply(
         StoreOutcome.done,
-        Revision(wire.current_rev),
+        make_revision(era, wire.current_rev),
         (item,),
         lease=wire.lease,
     )
 
 
-def _convert_list(wire: _WireReply) -> StoreReply:
+def _convert_list(wire: _WireReply, era: int) -> StoreReply:
     return StoreReply(
         StoreOutcome.done,
-        Revision(wire.current_rev),
-        _read_items(wire.items),
+        make_revision(era, wire.current_rev),
+        _read_items(wire.items, era),
         has_more=wire.truncated,
     )
 
 
-def _convert_events(wire: _WireReply) -> StoreReply:
+def _convert_events(wire: _WireReply, era: int) -> StoreReply:
     return StoreReply(
         StoreOutcome.done,
-        Revision(wire.current_rev),
-        _read_items(wire.events),
+        make_revision(era, wire.current_rev),
+        _read_items(wire.events, era),
     )
 
 
-def _convert_write(wire: _WireReply) -> StoreReply:
+def _convert_write(wire: _WireReply, era: int) -> StoreReply:
     return StoreReply(
-        StoreOutcome.done, Revision(wire.revision), lease=wire.lease
+        StoreOutcome.done, make_revision(era, wire.revision), lease=wire.lease
     )
 
 
-def _read_items(wire_items: list[_WireItem]) -> tuple[StoreItem, ...]:
+def _read_items(wire_items: list[_WireItem], era: int) -> tuple[StoreItem, ...]:
     return tuple(
         StoreItem(
             wire.key,
-            Revision(wire.revision),
+            make_revision(era, wire.revision),
             None
             if wire.deleted
             else base64.b64decode(wire.value, validate=True),
--- a/tests/mesh/test_peer_messages.py
+++ b/tests/mesh/test_peer_messages.py
@@ -2,15 +2,19 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
 from jasmineramp.ids import WorkspaceId
 from jasmineramp.mesh.peer_messages import (
+    LENGTH_PREFIX_BYTES,
     MAX_FRAME_BYTES,
     FrameBuffer,
     Ping,
     QuotaRequest,
+    UpdateReply,
+    UpdateRequest,
     decode_frame,
     encode_frame,
 )
@@ -48,3 +52,22 @@
         buffer.feed(ping + oversized_prefix[:2])
         with self.assertRaises(ValueError):
             buffer.feed(oversized_prefix[2:])
+
+
+class EarlierReleaseTest(unittest.TestCase):
+    """Frames of the release without eras are read as of era 0."""
+
+    def test_update_frames_without_eras(self) -> None:
+        encode = msgspec.msgpack.Encoder().encode
+        asked = decode_frame(encode([10, 1, 30, 31]))
+        self.assertEqual(asked, UpdateRequest(1, 30, 31))
+        answered = decode_frame(encode([11, 1, 30, 0.5, b'', 31, [], False]))
+        self.assertEqual(
+            answered, UpdateReply(1, 30, 0.5, b'', 31, (), is_full=False)
+        )
+
+    def test_revisions_travel_as_numbers_of_the_store(self) -> None:
+        """The earlier release ignores the eras behind the known fields."""
+        frame = encode_frame(UpdateRequest(1, 30, 31, 2, 3))
+        fields = msgspec.msgpack.decode(frame[LENGTH_PREFIX_BYTES:])
+        self.assertEqual(fields, [10, 1, 30, 31, 2, 3])
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -1,6 +1,7 @@
 """Test the calls to the store that keep a node registered."""
 
 import asyncio
+import json
 import unittest
 
 from bench.metadata_store import MetadataStore
@@ -103,3 +104,27 @@
         self.assertFalse(registration.changed.is_set())
         await asyncio.sleep(0)
         self.assertTrue(registration.stored.is_set())
+
+    # Guards against an entry that only this node still believes in, after the
+    # store has returned from an older copy.
+    async def test_entry_is_written_again_in_a_new_era(self) -> None:
+        before = self.store.back_up()
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        with_entry = self.store.back_up()
+        self.state = UpstreamState.draining
+        registration.mark_changed()
+        await self.run_steps(registration, 1)
+        for backup in (with_entry, before):
+            lease = registration.lease
+            self.store.restore(backup)
+            self.clock.advance(RENEW_INTERVAL_MS)
+            await self.run_steps(registration, 4)
+            self.assertTrue(registration.stored.is_set())
+            self.assertNotEqual(registration.lease, lease)
+            stored = self.store.items['jasmineramp/nodes/n0']
+            self.assertEqual(stored['lease'], registration.lease)
+            self.assertEqual(
+                json.loads(self.store.read(stored))['state'],
+                UpstreamState.draining.value,
+            )
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,13 +1,15 @@
 """Test that a lost answer to a write is not reported as a failed write."""
 
+import asyncio
 import time
 import unittest
 import unittest.mock
 
-from bench.metadata_store import Fault, MetadataStore
+from bench.metadata_store import Backup, Fault, MetadataStore
 
 from jasmineramp.ids import Revision
-from jasmineramp.mesh.store import StoreOutcome
+from jasmineramp.mesh.store import StoreOutcome, StoreReply
+from jasmineramp.mesh.store_revisions import era_of, number_of
 from jasmineramp.platform import store_client
 from jasmineramp.platform.store_client import ANSWER_TIMEOUT_S, StoreClient
 from tests.fakes.endless import (
@@ -91,6 +93,109 @@
         self.assertIs(reply.outcome, StoreOutcome.not_done)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Test a store that returns from an older copy of itself."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore()
+        self.client = StoreClient(HOST, await self.store.listen(HOST, 0))
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.client.close)
+
+    async def put(self, value: bytes, expected: Revision) -> StoreReply:
+        """Write one key without a lease."""
+        return await self.client.put('a/1', value, expected, 0)
+
+    async def restore(self, backup: Backup) -> None:
+        """Restore a copy; return when the client's connections have ended."""
+        self.store.restore(backup)
+        while any(each.is_open for each in self.client.idle):
+            await asyncio.sleep(0)
+
+    async def test_reissued_revision_is_later_than_the_lost_one(self) -> None:
+        backup = self.store.back_up()
+        lost = await self.put(b'x', Revision(0))
+        await self.restore(backup)
+        again = await self.put(b'y', Revision(0))
+        self.assertEqual(number_of(lost.revision), number_of(again.revision))
+        self.assertGreater(again.revision, lost.revision)
+        listed = await self.client.list_items('a/', stale=False)
+        self.assertEqual(listed.items[0].revision, again.revision)
+
+    # Guards against writes on the condition of a revision that now stands for
+    # another change.
+    async def test_write_that_expects_a_lost_revision_conflicts(self) -> None:
+        backup = self.store.back_up()
+        lost = await self.put(b'x', Revision(0))
+        await self.restore(backup)
+        self.store.write('a/1', b'of another writer')
+        await self.client.get('a/1')
+        for reply in (
+            await self.put(b'y', lost.revision),
+            await self.client.delete('a/1', lost.revision),
+        ):
+            self.assertIs(reply.outcome, StoreOutcome.conflict)
+        self.assertEqual(
+            self.store.read(self.store.items['a/1']), b'of another writer'
+        )
+
+    # Guards against a watch that goes on from a revision of the lost past and
+    # misses what came before it.
+    async def test_watch_from_a_lost_revision_is_compacted(self) -> None:
+        backup = self.store.back_up()
+        lost = await self.put(b'x', Revision(0))
+        await self.restore(backup)
+        for _ in range(3):
+            self.store.write('a/2', b'y')
+        for _ in range(2):
+            reply = await self.client.watch('a/', lost.revision, 1000)
+            self.assertIs(reply.outcome, StoreOutcome.compacted)
+
+    # Guards against a watch that stays deaf after another call has shown that
+    # the store has returned from a copy.
+    async def test_waiting_watch_ends_with_the_era(self) -> None:
+        written = await self.put(b'x', Revision(0))
+        watch = asyncio.create_task(
+            self.client.watch('a/', written.revision, 30_000)
+        )
+        while not self.client.busy:
+            await asyncio.sleep(0)
+        self.store.era += 1
+        await self.client.get('a/1')
+        async with asyncio.timeout(1):
+            reply = await watch
+        self.assertIsNot(reply.outcome, StoreOutcome.done)
+
+    async def test_list_of_two_eras_is_not_done(self) -> None:
+        """Pages before and after the return are no list of one state."""
+        for each in range(1203):
+            self.store.write(f'a/{each}', b'x')
+        answer = self.store.answer_range
+
+        def answer_and_return(
+            prefix: str, after: str
+        ) -> tuple[int, dict[str, object]]:
+            self.store.era += bool(after)
+            return answer(prefix, after)
+
+        with unittest.mock.patch.object(
+            self.store, 'answer_range', answer_and_return
+        ):
+            listed = await self.client.list_items('a/', stale=False)
+        self.assertIs(listed.outcome, StoreOutcome.not_done)
+
+    async def test_response_without_an_era_is_of_the_present_one(self) -> None:
+        self.store.era = 3
+        await self.client.get('a/1')
+        for header in ([], [(b'Store-Era', b'odd')], [(b'Store-Era', b'-1')]):
+            with unittest.mock.patch.object(
+                self.store, 'era_headers', return_value=header
+            ):
+                written = await self.put(b'x', Revision(0))
+            self.assertEqual(era_of(written.revision), 3)
+            self.store.remove('a/1')
+
+
 class EndlessReplyTest(unittest.IsolatedAsyncioTestCase):
     """Test replies of the store that never end."""
 
