Split the reading of store replies from the client

Change: platform/store_replies.py holds what a response contains and how it becomes a reply. Behaviour and tests stay.

--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import base64
-import binascii
 from collections import Counter
-from collections.abc import Callable
 from urllib.parse import quote
 
 import httptools
@@ -18,7 +16,16 @@
     MessageBuffer,
 )
 from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
-from jasmineramp.mesh.store_revisions import era_of, make_revision, number_of
+from jasmineramp.mesh.store_revisions import era_of, number_of
+from jasmineramp.platform.store_replies import (
+    Converter,
+    WireResponse,
+    convert_events,
+    convert_item,
+    convert_list,
+    convert_write,
+    read_reply,
+)
 from jasmineramp.platform.wire_values import write_duration_ms
 
 CONNECT_TIMEOUT_S = 0.5
@@ -29,52 +36,10 @@
 # Rises by one each time the store returns from an older copy.
 _ERA_HEADER = b'store-era'
 
-_OUTCOMES = {
-    200: StoreOutcome.done,
-    404: StoreOutcome.missing,
-    410: StoreOutcome.compacted,
-    412: StoreOutcome.conflict,
-    403: StoreOutcome.not_done,
-    429: StoreOutcome.not_done,
-    503: StoreOutcome.not_done,
-}
-
-
-class _WireItem(msgspec.Struct):
-    key: str
-    revision: int
-    value: str = ''
-    deleted: bool = False
-
-
-class _WireReply(msgspec.Struct, rename='camel'):
-    """Hold the fields of all responses; each call uses a few of them."""
-
-    # The revision of the store, or of the write in the response to a write.
-    current_rev: int = 0
-    revision: int = 0
-    items: list[_WireItem] = []
-    events: list[_WireItem] = []
-    truncated: bool = False
-    lease: int = 0
-    # Set in the response to a read of one key.
-    key: str = ''
-    value: str = ''
-
-
-_Converter = Callable[[_WireReply, int], StoreReply]
 _OTHER_ERA = 'the store returned from an older copy'
-_decoder = msgspec.json.Decoder(_WireReply)
 _encoder = msgspec.json.Encoder()
 
 
-class _WireResponse(msgspec.Struct):
-    status: int
-    content: bytes
-    # None in a response that does not tell it.
-    era: int | None
-
-
 class _NotSentError(Exception):
     """Report that a call was not sent."""
 
@@ -88,7 +53,7 @@
 
     def __init__(self, max_reply_bytes: int) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.future: asyncio.Future[_WireResponse] | None = None
+        self.future: asyncio.Future[WireResponse] | None = None
         self.era: int | None = None
         self.buffer = MessageBuffer(max_reply_bytes)
         self.is_open = False
@@ -109,7 +74,7 @@
                 _AnswerLostError(f'connection lost: {exc}')
             )
 
-    def send(self, data: bytes) -> 'asyncio.Future[_WireResponse]':
+    def send(self, data: bytes) -> 'asyncio.Future[WireResponse]':
         """Send a call; return the future of its response."""
         self.future = asyncio.get_running_loop().create_future()
         self.buffer.start_exchange()
@@ -156,7 +121,7 @@
         self.keep_alive = self.parser.should_keep_alive()
         if self.future is not None and not self.future.done():
             self.future.set_result(
-                _WireResponse(status, self.buffer.take_body(), self.era)
+                WireResponse(status, self.buffer.take_body(), self.era)
             )
 
     def _abort(self, reason: str) -> None:
@@ -187,20 +152,20 @@
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
         path = f'/kv-key?key={quote(key, safe="")}'
-        return await self._call('get', 'GET', path, convert=_convert_item)
+        return await self._call('get', 'GET', path, convert=convert_item)
 
     async def list_items(self, prefix: str, *, stale: bool) -> StoreReply:
         """Return all items under a prefix; a stale list may lag by seconds."""
         prefix = quote(prefix, safe='')
         base = f'/kv-range?prefix={prefix}&serializable={int(stale)}'
         items: list[StoreItem] = []
-        reply = await self._call('list', 'GET', base, convert=_convert_list)
+        reply = await self._call('list', 'GET', base, convert=convert_list)
         era = era_of(reply.revision)
         while reply.has_more and reply.items:
             items.extend(reply.items)
             after = quote(reply.items[-1].key, safe='')
             reply = await self._call(
-                'list', 'GET', f'{base}&after={after}', convert=_convert_list
+                'list', 'GET', f'{base}&after={after}', convert=convert_list
             )
         if reply.outcome is not StoreOutcome.done:
             return reply
@@ -224,7 +189,7 @@
             'watch',
             'GET',
             path,
-            convert=_convert_events,
+            convert=convert_events,
             timeout_s=watch_timeout_s,
         )
         if era_of(after) < self.era:
@@ -287,7 +252,7 @@
         path: str,
         body: object = None,
         *,
-        convert: _Converter | None = None,
+        convert: Converter | None = None,
         timeout_s: float | None = None,
     ) -> StoreReply:
         """Send and count a call; a read without an answer is not_done."""
@@ -306,7 +271,7 @@
             reply = StoreReply(lost_outcome, detail=str(error))
         else:
             era = self._observe_era(response.era)
-            reply = _read_reply(response, era, convert or _convert_write)
+            reply = read_reply(response, era, convert or convert_write)
         self.counts[kind, reply.outcome.value] += 1
         return reply
 
@@ -323,7 +288,7 @@
 
     async def _exchange(
         self, method: str, path: str, body: object, timeout_s: float
-    ) -> _WireResponse:
+    ) -> WireResponse:
         connection = self._take_idle() or await self._connect()
         content = b'' if body is None else _encoder.encode(body)
         head = (
@@ -370,74 +335,3 @@
         except (OSError, TimeoutError) as error:
             raise _NotSentError(f'cannot connect: {error!r}') from None
         return connection
-
-
-def _read_reply(
-    response: _WireResponse, era: int, convert: _Converter
-) -> StoreReply:
-    status = response.status
-    outcome = _OUTCOMES.get(status, StoreOutcome.unknown)
-    detail = '' if status == 200 else f'HTTP status {status}'  # noqa: PLR2004
-    if outcome is not StoreOutcome.done and not response.content:
-        return StoreReply(outcome, detail=detail)
-    try:
-        wire = _decoder.decode(response.content)
-        if outcome is StoreOutcome.done:
-            return convert(wire, era)
-        items = _read_items(wire.items, era)
-    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
-        if outcome is StoreOutcome.done:
-            return StoreReply(StoreOutcome.unknown, detail=str(error))
-        return StoreReply(outcome, detail=detail)
-    revision = make_revision(era, wire.current_rev)
-    return StoreReply(outcome, revision, items, detail=detail)
-
-
-def _convert_item(wire: _WireReply, era: int) -> StoreReply:
-    item = StoreItem(
-        wire.key,
-        make_revision(era, wire.revision),
-        base64.b64decode(wire.value, validate=True),
-    )
-    return StoreReply(
-        StoreOutcome.done,
-        make_revision(era, wire.current_rev),
-        (item,),
-        lease=wire.lease,
-    )
-
-
-def _convert_list(wire: _WireReply, era: int) -> StoreReply:
-    return StoreReply(
-        StoreOutcome.done,
-        make_revision(era, wire.current_rev),
-        _read_items(wire.items, era),
-        has_more=wire.truncated,
-    )
-
-
-def _convert_events(wire: _WireReply, era: int) -> StoreReply:
-    return StoreReply(
-        StoreOutcome.done,
-        make_revision(era, wire.current_rev),
-        _read_items(wire.events, era),
-    )
-
-
-def _convert_write(wire: _WireReply, era: int) -> StoreReply:
-    return StoreReply(
-        StoreOutcome.done, make_revision(era, wire.revision), lease=wire.lease
-    )
-
-
-def _read_items(wire_items: list[_WireItem], era: int) -> tuple[StoreItem, ...]:
-    return tuple(
-        StoreItem(
-            wire.key,
-            make_revision(era, wire.revision),
-            None
-            if wire.deleted
-            else base64.b64decode(wire.value, validate=True),
-        )
-        for wire in wire_items
-    )
