List entries currently after the store has returned

Nodes could miss the entries of others for as long as the store needs to give out its lost revisions again.

Cause: a stale list may be seconds old. Right after the return of the store from a copy it may show the lost past, at revisions above the present ones, which then hide every later change.

Change: for 5 s after a new era lists are current ones.

Run: tests.mesh.test_directory_watch: test_lists_are_current_after_a_new_era failed before (True is not false), 2 pass.

--- a/src/jasmineramp/mesh/directory_watch.py
+++ b/src/jasmineramp/mesh/directory_watch.py
@@ -21,6 +21,9 @@
 # Nodes that do not watch the store list it at this interval until another
 # node sends them the changes. Stale lists cost a tenth of a watch.
 STALE_LIST_INTERVAL_MS = 700
+# For this time after the store has returned from a copy, stale lists may still
+# show what it held before.
+STALENESS_MS = 5_000
 
 
 class DirectoryWatch:
@@ -46,6 +49,8 @@
         self.is_listed = False
         # Set when a stale list could be older than the store's history.
         self.needs_current_list = False
+        self.era = store.era
+        self.era_began_at = Millis(float('-inf'))
         self.is_following: Callable[[], bool] = _return_false
         self.is_candidate: Callable[[], bool] = _return_true
         self.backoff = Backoff()
@@ -121,9 +126,18 @@
         )
         return self.backoff.next()
 
+    def _may_list_stale(self) -> bool:
+        now = self.clock.now()
+        if self.era != self.store.era:
+            if self.is_known():
+                self.era_began_at = now
+            self.era = self.store.era
+        is_era_old = now - self.era_began_at > STALENESS_MS
+        return is_era_old and not self.needs_current_list
+
     async def _list(self) -> float:
         reply = await self.store.list_items(
-            KEY_PREFIX, stale=not self.needs_current_list
+            KEY_PREFIX, stale=self._may_list_stale()
         )
         if reply.outcome is not StoreOutcome.done:
             return self.backoff.next()
