Check the entry as soon as a node knows of a new era

Nodes of which the store had lost the entry were taken for gone for a moment, and all others wrote theirs again without need. Each process that started ended its own first calls.

Cause: the registration learned of a new era only from its own renewals, up to 2 s late, and then wrote the entry in any case; other nodes wait 2.3 s for it. The first era that a client saw looked like a new one, so it ended all calls in progress. A node that stopped in a new era ended a lease that may have been given out again.

Change: the client of the store reports a new era, also one that the leader of the domain tells, and ends watches only. The node reads its own entry, and takes a new lease and writes it only if the entry or its lease is not what it believes. A lease of an earlier era is left to run out, and a lease that could not be ended leaves a log line.

--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -46,6 +46,7 @@
         self.revision = Revision(0)
         self.lease = 0
         self.era = store.era
+        store.on_new_era = self.wake
         self.renewed_at = Millis(float('-inf'))
         self.valid_until = Millis(float('-inf'))
         self.is_restored = False
@@ -83,11 +84,23 @@
                 async with asyncio.timeout(wait_ms / MILLIS_PER_SECOND):
                     await self.changed.wait()
 
+    def wake(self) -> None:
+        """Run the next step now, as the store may have lost the entry."""
+        self.changed.set()
+
     async def unregister(self) -> None:
         """End the lease, so that peers need not wait for it to expire."""
         self.is_closed = True
-        if self.lease:
-            await self.store.revoke_lease(self.lease)
+        if not self.lease or self.era != self.store.era:
+            # In a new era the lease may be that of another node.
+            return
+        reply = await self.store.revoke_lease(self.lease)
+        if reply.outcome is not StoreOutcome.done:
+            self.log.write(
+                'lease_not_ended',
+                outcome=reply.outcome.value,
+                detail=reply.detail,
+            )
 
     async def _run_step(self) -> float:
         step_started = self.clock.now()
@@ -98,18 +111,12 @@
             self.era = self.store.era
             if not self.revision:
                 return FIRST_ENTRY_WAIT_MS
-        if self.era != self.store.era:
-            # The entry and the lease may be lost, or back in an older form.
-            self.era = self.store.era
-            self._lose_lease('the store returned from an older copy')
-        if not self.lease:
-            reply = await self.store.grant_lease(LEASE_TTL_MS)
-            if reply.outcome is not StoreOutcome.done:
-                return self.backoff.next()
-            self.lease = reply.lease
-            self.renewed_at = step_started
-            self.written = None
-        if not self._is_written() and not await self._write():
+        is_registered = (
+            (self.era == self.store.era or await self._check_entry())
+            and (self.lease or await self._take_lease(step_started))
+            and (self._is_written() or await self._write())
+        )
+        if not is_registered:
             return self.backoff.next()
         if self.clock.now() - self.renewed_at >= RENEW_INTERVAL_MS:
             renewal_sent = self.clock.now()
@@ -120,14 +127,21 @@
             if reply.outcome is not StoreOutcome.done:
                 return self.backoff.next()
             self.renewed_at = renewal_sent
-            if self.era != self.store.era:
-                return 0.001
         self.backoff.reset()
         self.valid_until = Millis(self.renewed_at + LEASE_TTL_MS)
         return max(
             0.001, self.renewed_at + RENEW_INTERVAL_MS - self.clock.now()
         )
 
+    async def _take_lease(self, step_started: Millis) -> bool:
+        reply = await self.store.grant_lease(LEASE_TTL_MS)
+        if reply.outcome is not StoreOutcome.done:
+            return False
+        self.lease = reply.lease
+        self.renewed_at = step_started
+        self.written = None
+        return True
+
     async def _write(self) -> bool:
         version = self.version
         entry = self.make_entry(version)
@@ -145,7 +159,8 @@
         if reply.outcome is StoreOutcome.missing:
             self._lose_lease('lease is unknown')
         elif reply.outcome is StoreOutcome.conflict:
-            # The entry was written by an earlier process of this node.
+            # The entry was written by an earlier process of this node, or it is
+            # back from a copy of the store.
             self.revision = max_revision(reply.items)
             self.changed.set()
         elif reply.outcome is StoreOutcome.unknown:
@@ -184,6 +199,30 @@
             self.mark_changed()
         return self.is_restored
 
+    async def _check_entry(self) -> bool:
+        """Read whether entry and lease are still there in a new era.
+
+        Return False if the store has not told.
+        """
+        era = self.store.era
+        reply = await self.store.get(entry_key(self.make_entry(0).node))
+        if reply.outcome not in {StoreOutcome.done, StoreOutcome.missing}:
+            return False
+        self.era = era
+        revision = max_revision(reply.items)
+        is_intact = (
+            self.written is not None
+            and self.lease == reply.lease
+            and any(
+                item.value == _encoder.encode(self.written)
+                for item in reply.items
+            )
+        )
+        if not is_intact:
+            self._lose_lease('the store returned from an older copy')
+        self.revision = revision
+        return True
+
     def _is_written(self) -> bool:
         return self.written is not None and self.written.version == self.version
 
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -177,6 +177,7 @@
         ):
             return False
         era = update.directory_era
+        self.directory_watch.store.observe_era(era)
         self.directory_watch.apply_changes(
             make_revision(era, update.directory_revision),
             tuple(
--- a/src/jasmineramp/mesh/store.py
+++ b/src/jasmineramp/mesh/store.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -53,10 +54,15 @@
 
     `counts` holds the number of calls by kind and outcome. `era` rises when the
     store returns from an older copy: what was written since the copy is lost.
+    `on_new_era` is called then.
     """
 
     counts: Counter[tuple[str, str]]
     era: int
+    on_new_era: Callable[[], None]
+
+    def observe_era(self, era: int) -> None:
+        """Note an era that another node has seen."""
 
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections import Counter
+from collections.abc import Callable
 from urllib.parse import quote
 
 import httptools
@@ -135,7 +136,7 @@
     """Call the store; failures are outcomes of replies, never exceptions.
 
     `counts` holds the number of calls by kind and outcome, `era` the highest
-    era that a response has told.
+    era that a response or another node has told.
     """
 
     def __init__(
@@ -145,9 +146,11 @@
         self.port = port
         self.max_reply_bytes = STORE_REPLY_VALUES * value_bytes
         self.idle: list[_StoreConnection] = []
-        self.busy: set[_StoreConnection] = set()
+        self.watching: set[_StoreConnection] = set()
         self.counts: Counter[tuple[str, str]] = Counter()
         self.era = 0
+        self.knows_era = False
+        self.on_new_era: Callable[[], None] = _ignore_era
 
     async def get(self, key: str) -> StoreReply:
         """Return the item of a key, read linearizably."""
@@ -240,6 +243,17 @@
         """End a lease and delete its keys."""
         return await self._call('end', 'DELETE', f'/kv-lease-end/{lease}')
 
+    def observe_era(self, era: int) -> None:
+        """Note an era; end the watches of an earlier one."""
+        is_new = self.knows_era and era > self.era
+        self.era = max(era, self.era)
+        self.knows_era = True
+        if is_new:
+            # They may wait for a revision that the store no longer has.
+            for connection in self.watching:
+                connection.transport.abort()
+            self.on_new_era()
+
     def close(self) -> None:
         """Close the idle connections."""
         while self.idle:
@@ -270,21 +284,16 @@
             )
             reply = StoreReply(lost_outcome, detail=str(error))
         else:
-            era = self._observe_era(response.era)
+            era = self._era_of_response(response)
             reply = read_reply(response, era, convert or convert_write)
         self.counts[kind, reply.outcome.value] += 1
         return reply
 
-    def _observe_era(self, era: int | None) -> int:
-        """Return the era of a response; end older calls if it is a new one."""
-        if era is None:
+    def _era_of_response(self, response: WireResponse) -> int:
+        if response.era is None:
             return self.era
-        if era > self.era:
-            self.era = era
-            # They may wait for a state that the store no longer has.
-            for connection in self.busy:
-                connection.transport.abort()
-        return era
+        self.observe_era(response.era)
+        return response.era
 
     async def _exchange(
         self, method: str, path: str, body: object, timeout_s: float
@@ -297,7 +306,8 @@
             f'Content-Length: {len(content)}\r\n\r\n'
         )
         reply = connection.send(head.encode() + content)
-        self.busy.add(connection)
+        if timeout_s > ANSWER_TIMEOUT_S:
+            self.watching.add(connection)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await reply
@@ -309,7 +319,7 @@
             connection.transport.abort()
             raise
         finally:
-            self.busy.discard(connection)
+            self.watching.discard(connection)
         if connection.keep_alive and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
         else:
@@ -335,3 +345,7 @@
         except (OSError, TimeoutError) as error:
             raise _NotSentError(f'cannot connect: {error!r}') from None
         return connection
+
+
+def _ignore_era() -> None:
+    """Stand in for the action on a new era until one is set."""
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -16,6 +16,7 @@
     RENEW_INTERVAL_MS,
     Registration,
 )
+from jasmineramp.mesh.store import StoreOutcome
 from jasmineramp.platform.store_client import StoreClient
 
 HOST = '127.0.0.1'
@@ -118,8 +119,9 @@
         for backup in (with_entry, before):
             lease = registration.lease
             self.store.restore(backup)
-            self.clock.advance(RENEW_INTERVAL_MS)
-            await self.run_steps(registration, 4)
+            await self.read_until_answered(registration)
+            self.assertTrue(registration.changed.is_set())
+            await self.run_steps(registration, 2)
             self.assertTrue(registration.stored.is_set())
             self.assertNotEqual(registration.lease, lease)
             stored = self.store.items['jasmineramp/nodes/n0']
@@ -128,3 +130,44 @@
                 json.loads(self.store.read(stored))['state'],
                 UpstreamState.draining.value,
             )
+
+    async def read_until_answered(self, registration: Registration) -> None:
+        """Read any key as another part of the node does."""
+        while True:
+            reply = await registration.store.get('other')
+            if reply.outcome is StoreOutcome.missing:
+                return
+
+    # Guards against a write by each node, though the copy has all entries.
+    async def test_entry_in_the_copy_is_not_written_again(self) -> None:
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        self.store.write('other-node', b'')
+        lease = registration.lease
+        self.store.restore(self.store.back_up())
+        await self.read_until_answered(registration)
+        writes = registration.store.counts['txn', 'done']
+        await self.run_steps(registration, 2)
+        self.assertEqual(registration.lease, lease)
+        self.assertEqual(registration.store.counts['txn', 'done'], writes)
+        self.assertTrue(registration.stored.is_set())
+        self.state = UpstreamState.draining
+        registration.mark_changed()
+        await self.run_steps(registration, 1)
+        self.assertTrue(registration.stored.is_set())
+
+    # Guards against the end of a lease that now is that of another node.
+    async def test_lease_of_an_earlier_era_is_not_ended(self) -> None:
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        registration.store.observe_era(1)
+        await registration.unregister()
+        self.assertIn(registration.lease, self.store.leases)
+
+    async def test_first_era_of_a_process_changes_nothing(self) -> None:
+        self.store.era = 3
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        self.assertFalse(registration.changed.is_set())
+        self.assertEqual(registration.era, 3)
+        self.assertTrue(registration.stored.is_set())
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -158,7 +158,7 @@
         watch = asyncio.create_task(
             self.client.watch('a/', written.revision, 30_000)
         )
-        while not self.client.busy:
+        while not self.client.watching:
             await asyncio.sleep(0)
         self.store.era += 1
         await self.client.get('a/1')
@@ -166,6 +166,34 @@
             reply = await watch
         self.assertIsNot(reply.outcome, StoreOutcome.done)
 
+    async def test_answer_of_an_earlier_era_stays_an_earlier_one(self) -> None:
+        self.store.era = 4
+        later = await self.put(b'x', Revision(0))
+        self.store.era = 3
+        earlier = await self.client.get('a/1')
+        self.assertEqual(era_of(earlier.items[0].revision), 3)
+        self.assertEqual(self.client.era, 4)
+        self.assertLess(earlier.items[0].revision, later.revision)
+
+    # Guards against a process that ends its own first calls, because it takes
+    # the era of the store for a new one.
+    async def test_first_era_ends_no_watch(self) -> None:
+        self.store.era = 3
+        watch = asyncio.create_task(
+            self.client.watch('a/', Revision(self.store.revision), 30_000)
+        )
+        while not self.client.watching:
+            await asyncio.sleep(0)
+        news = unittest.mock.Mock()
+        self.client.on_new_era = news
+        await self.client.get('a/1')
+        self.assertFalse(watch.done())
+        news.assert_not_called()
+        self.client.observe_era(4)
+        news.assert_called_once_with()
+        reply = await watch
+        self.assertIsNot(reply.outcome, StoreOutcome.done)
+
     async def test_list_of_two_eras_is_not_done(self) -> None:
         """Pages before and after the return are no list of one state."""
         for each in range(1203):
