Order tables by their version before their revision

A node could serve the older configuration of the copy, with keys that a later one had withdrawn, while its peers still had the later one.

Change: the version decides, and the revision only between tables of one version. A later version is taken from any node, however old its proof, and counts as proven when that node proved it; what proved another table says nothing about it. table_outdated stands in place of table_refused, and table_missing tells that the store has no table.

--- a/src/jasmineramp/mesh/freshness.py
+++ b/src/jasmineramp/mesh/freshness.py
@@ -27,6 +27,13 @@
         """Record that a read sent at this time returned the newest table."""
         self.confirmed_at = max(self.confirmed_at, sent)
 
+    def restart(self, sent: Millis) -> None:
+        """Record the confirmation of a table that replaces another one.
+
+        What confirmed the other one proves nothing about this one.
+        """
+        self.confirmed_at = sent
+
     def age(self, now: Millis) -> float:
         """Return the time in ms since the table was last confirmed."""
         return now - self.confirmed_at
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -100,7 +100,7 @@
             frame.stream,
             number_of(table.revision),
             table.freshness.age(self.clock.now()),
-            table.content if table.revision > table_known else b'',
+            table.content if table.revision != table_known else b'',
             number_of(directory.revision),
             tuple(
                 replace(item, revision=Revision(number_of(item.revision)))
@@ -162,20 +162,17 @@
             return False
         asked = self.clock.now()
         update = await ask_peer(link, self._request, ASK_TIMEOUT_S)
-        if (
-            not isinstance(update, UpdateReply)
-            or update.table_age_ms > MAX_TABLE_AGE_MS
-        ):
+        if not isinstance(update, UpdateReply):
             return False
         # The confirmation is at least as recent as this, whatever the
         # difference of the two clocks: the source measured its age after the
         # request.
         confirmed_at = Millis(asked - update.table_age_ms)
-        table_revision = make_revision(update.table_era, update.table_revision)
-        if not self.table_watch.apply_table(
-            table_revision, update.table, confirmed_at
-        ):
-            return False
+        has_table = self.table_watch.apply_table(
+            make_revision(update.table_era, update.table_revision),
+            update.table,
+            confirmed_at,
+        )
         era = update.directory_era
         self.directory_watch.store.observe_era(era)
         self.directory_watch.apply_changes(
@@ -186,6 +183,8 @@
             ),
             is_full=update.is_full,
         )
+        if not has_table or update.table_age_ms > MAX_TABLE_AGE_MS:
+            return False
         self.last_reply = self.clock.now()
         return True
 
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -110,17 +110,11 @@
                 outcome=reply.outcome.value,
                 detail=reply.detail,
             )
+        if reply.outcome is StoreOutcome.missing and self.content:
+            self.log.write('table_missing')
         if reply.outcome is not StoreOutcome.done:
             return reachable
         item = reply.items[0]
-        if item.revision < self.revision:
-            self.log.write(
-                'table_refused',
-                revision=number_of(item.revision),
-                era=era_of(item.revision),
-                known=number_of(self.revision),
-                known_era=era_of(self.revision),
-            )
         self.apply_table(item.revision, item.value or b'', sent)
         return True
 
@@ -132,16 +126,17 @@
         Return whether the node now has that table. The content may be empty
         if the node already has the revision.
         """
-        if revision < self.revision:
+        if content and content != self.content:
+            return self._load(revision, content, confirmed_at)
+        if not content and revision != self.revision:
             return False
-        is_changed = revision > self.revision and content != self.content
-        if is_changed and not self._load(revision, content):
-            return False
-        self.revision = revision
+        self.revision = max(self.revision, revision)
         self.freshness.record_confirmation(confirmed_at)
         return True
 
-    def _load(self, revision: Revision, content: bytes) -> bool:
+    def _load(
+        self, revision: Revision, content: bytes, confirmed_at: Millis
+    ) -> bool:
         try:
             table = self.decode(content, revision)
         except ValueError as error:
@@ -152,9 +147,10 @@
                 error=str(error),
             )
             return False
-        if table.serial < self.serial:
-            # The store returned from an older copy, and the operator has not
-            # written the later version again yet.
+        if (table.serial, revision) < (self.serial, self.revision):
+            # The store or a node has an older version than this node, as after
+            # the return of the store from a copy, until the operator has
+            # written the later one again.
             self.log.write(
                 'table_outdated',
                 revision=number_of(revision),
@@ -163,7 +159,9 @@
             )
             return False
         self.serial = table.serial
+        self.revision = revision
         self.content = content
+        self.freshness.restart(confirmed_at)
         self.on_table(table)
         self.log.write(
             'table_in_force',
--- a/tests/mesh/test_relay.py
+++ b/tests/mesh/test_relay.py
@@ -4,13 +4,17 @@
 """
 
 import copy
+import json
 import unittest
 
 from bench.metadata_store import Fault
 
 from jasmineramp.clock import Millis
+from jasmineramp.ids import Revision
 from jasmineramp.mesh.node import Node
+from jasmineramp.mesh.peer_messages import UpdateRequest
 from jasmineramp.mesh.relay import MAX_TABLE_AGE_MS
+from jasmineramp.mesh.store_revisions import era_of, number_of
 from tests.fakes.mesh import CONFIGURATION, Fleet
 
 
@@ -71,6 +75,45 @@
                 node.freshness.confirmed_at, leader.freshness.confirmed_at
             )
 
+    # Guards against nodes of a domain that mix up the eras of the store.
+    async def test_eras_travel_with_table_and_entries(self) -> None:
+        leader, others = self.find_leader()
+        self.fleet.store.restore(self.fleet.store.back_up())
+        await self.fleet.until(
+            lambda: all(
+                era_of(node.table_watch.revision) == 1
+                and era_of(node.directory_watch.revision) == 1
+                and node.registration.era == 1
+                for node in self.fleet.nodes
+            )
+        )
+        known = number_of(leader.table_watch.revision)
+        reply = leader.relay.answer(UpdateRequest(1, known, 1))
+        self.assertEqual((reply.table_era, reply.directory_era), (1, 1))
+        self.assertEqual(reply.table_revision, known)
+        self.assertTrue(reply.table)
+        self.assertTrue(reply.is_full)
+        self.assertEqual({era_of(item.revision) for item in reply.items}, {0})
+        for node in others:
+            revisions = node.fleet.directory.revisions.values()
+            self.assertEqual({era_of(each) for each in revisions}, {1})
+
+    # Guards against a node that serves the older version of the copy, while the
+    # others still have the later one.
+    async def test_later_table_is_taken_from_a_source_without_proof(
+        self,
+    ) -> None:
+        leader, others = self.find_leader()
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration['version'] = '00000002'
+        leader.table_watch.apply_table(
+            Revision(1), json.dumps(configuration).encode(), Millis(0)
+        )
+        self.fleet.store.fault = Fault.busy
+        self.assertFalse(await others[0].relay.ask())
+        self.assertEqual(others[0].table_watch.serial, 2)
+        self.assertLessEqual(others[0].freshness.confirmed_at, 0)
+
     async def test_leader_without_store_contact_is_not_used(self) -> None:
         _, others = self.find_leader()
         for node in self.fleet.nodes:
