Refuse new connections for a second after the last call of a stop

tests.test_fleet.StopTest.test_stop_under_load failed once with ConnectionRefusedError where it waits for "draining".

Cause: the linger of a second counted from the signal. A call that was admitted before the stop was in force and runs for 2.5 s outlasts it; if nothing else holds the node, the listener closes with the end of the call, and a caller that connects again meets a closed port in place of a refusal. Beside it: the stop was only told to the actor, and the node looked for open calls at once. A call that was admitted in between was not seen, and was cut a second after the linger, answered as 499.

Change: the linger counts from the end of the last open call (or from the stop if there is none), and the stop goes on only once it is in force. The bound stays: stop_after_ms, then 8 s for the hand-over, beside which the linger runs, then 1 s. LingerTest runs the stop on a clock of its own, without processes; start_node takes a clock.

--- a/src/jasmineramp/node.py
+++ b/src/jasmineramp/node.py
@@ -63,7 +63,7 @@
     )
 )
 # A caller on a kept-alive connection learns of the stop with its next
-# response.
+# response; if it then connects again, it is refused.
 LINGER_MS = 1000
 # Loans end after 5 s; then the rate slot is released.
 HANDOVER_TIMEOUT_MS = 8000
@@ -152,11 +152,12 @@
 
     def stop(self) -> None:
         """Stop gracefully: finish calls, release held resources, then close."""
-        self.actor.tell(Delivery(StopRequested()))
+        # A call that is admitted before this is in force counts as work.
+        self.actor.ask(Delivery(StopRequested()))
         for server in self.http_servers:
             server.stopping = True
-        linger_until = self.clock.now() + LINGER_MS
         self._wait_while(self._has_work, self.settings.stop_after_ms)
+        linger_until = self.clock.now() + LINGER_MS
         # The platform may be down; what is not released expires.
         self._wait_while(
             propagation.has_resources_to_release, HANDOVER_TIMEOUT_MS
--- a/tests/fakes/sockets.py
+++ b/tests/fakes/sockets.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from jasmineramp.clock import Clock
 from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.node import Node
 from jasmineramp.settings import Settings
@@ -98,7 +99,11 @@
 
 
 def start_node(
-    test: unittest.TestCase, table: dict, name: str = 'n1', **changes
+    test: unittest.TestCase,
+    table: dict,
+    name: str = 'n1',
+    clock: Clock | None = None,
+    **changes,
 ) -> Node:
     """Start a node in this process with the table in memory."""
     fields = {
@@ -111,7 +116,7 @@
         'run_threads': 8,
         **changes,
     }
-    node = Node(Settings(NodeId(name), DomainId('d'), **fields))
+    node = Node(Settings(NodeId(name), DomainId('d'), **fields), clock)
     test.addCleanup(node.close)
     body = encode_table(parse_json(msgspec.json.encode(table)))
     node.load_table(Revision(1), body)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Test the HTTP server of a node for callers over real sockets."""
 
 import contextlib
+import http.client
 import json
 import logging
 import socket
@@ -14,8 +15,10 @@
 from jasmineramp.actors import Delivery
 from jasmineramp.authentication import digest_key
 from jasmineramp.call_messages import StopRequested, UpstreamAnnounced
+from jasmineramp.clock import MILLIS_PER_SECOND, ManualClock, Millis
 from jasmineramp.credentials import find_key, strip_headers, strip_query
 from jasmineramp.gateway import Gateway, has_open_requests
+from jasmineramp.node import LINGER_MS, STOP_POLL_SECONDS
 from tests.fakes.sockets import (
     ScriptedUpstream,
     announce,
@@ -218,3 +221,96 @@
         self.assertEqual(len(connection.getresponse().read()), 20_000_000)
         stop.join()
         self.assertEqual(unsent_at_close, [False])
+
+
+class LingerTest(GatewayCase):
+    """Guard against a node that stops listening before its callers know.
+
+    The stop runs in the thread of the test on a clock that it moves.
+    """
+
+    def setUp(self) -> None:
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+        self.clock = ManualClock(Millis(1000))
+        self.ended_at = None
+        self.results = []
+        self.unexpected = []
+        self.upstream = ScriptedUpstream(self, self.respond)
+        self.node = start_node(self, TABLE, clock=self.clock)
+        announce(self.node, self.upstream.port)
+        # A node admits no call in the instant of its start.
+        self.clock.advance(LINGER_MS)
+        self.release_at = self.clock.now() + 2.5 * LINGER_MS
+        self.caller = threading.Thread(target=self.call)
+
+    # After a call of 2.5 s: ConnectionRefusedError in place of "draining".
+    def test_new_connection_is_refused_with_draining_after_a_long_call(
+        self,
+    ) -> None:
+        self.open_call()
+        self.check_stop()
+
+    # A stop that went on before it was in force cut the call (499).
+    def test_call_admitted_while_the_stop_is_delivered_is_not_cut(
+        self,
+    ) -> None:
+        apply = self.node.dispatcher.apply
+
+        def deliver(delivery: Delivery) -> None:
+            if isinstance(delivery.event, StopRequested):
+                self.open_call()
+            apply(delivery)
+
+        with mock.patch.object(self.node.dispatcher, 'apply', deliver):
+            self.check_stop()
+
+    def check_stop(self) -> None:
+        """Stop; the call must end and each later connection be refused."""
+        with mock.patch('jasmineramp.node.time') as time:
+            time.sleep = self.pause
+            self.node.stop()
+        self.caller.join()
+        self.assertEqual(self.results, [(200, b'whole')])
+        while self.clock.now() < self.ended_at + LINGER_MS:
+            self.pause(STOP_POLL_SECONDS)
+        self.assertEqual(self.unexpected, [])
+
+    def pause(self, seconds: float) -> None:
+        """Move the clock, end the call when it is due, and connect anew."""
+        wait_until(lambda: self.node.state.stopping)
+        self.clock.advance(seconds * MILLIS_PER_SECOND)
+        if self.ended_at is None and self.clock.now() >= self.release_at:
+            self.release.set()
+            self.caller.join()
+            self.ended_at = self.clock.now()
+        code = self.connect_anew()
+        if code != 'draining':
+            self.unexpected.append((code, self.clock.now()))
+
+    def connect_anew(self) -> str:
+        """Return the code of the refusal, or the name of the error."""
+        try:
+            code = json.loads(self.get()[1])['code']
+        except (OSError, http.client.HTTPException) as error:
+            return type(error).__name__
+        channels = self.node.http_servers[0].active_channels
+        wait_until(lambda: len(channels) == self.caller.is_alive())
+        return code
+
+    def open_call(self) -> None:
+        """Open the call that the stop must wait for."""
+        self.caller.start()
+        wait_until(lambda: self.upstream.requests)
+
+    def call(self) -> None:
+        try:
+            response, body = self.get()
+        except (OSError, http.client.HTTPException) as error:
+            self.results.append(type(error).__name__)
+        else:
+            self.results.append((response.status, body))
+
+    def respond(self, sock: socket.socket, request: bytes) -> None:
+        self.release.wait(20)
+        sock.sendall(answer(b'whole'))
