Play rolling stops in the soak and judge calls cut off at work

Cause: a node that is stopped as planned ends its lease; 2.3 s after its entry vanished other nodes close their link to it, also when its next process is up and runs calls for them over that link. These calls get 502, "link to the peer was lost".

Change: tests/soak only. A call that an upstream had begun and that ends in a closed connection or, before the deadline, in an answer of the node's own other than 429 and 503 (these were judged before) breaks a promise; so does a 502 at a node that isn't stopping. Runs with rounds have no proxy before the nodes: it accepts connections for a process that is gone, so links were lost with a reply pending where the system would refuse.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -13,6 +13,8 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 40
 REFUSALS = frozenset((429, 503))
+CLOSED = 0
+BAD_GATEWAY = 502
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -23,6 +25,14 @@
     workspace: str
 
 
+class Ending(msgspec.Struct, frozen=True):
+    """Hold how a request ended while nothing but planned stops happened."""
+
+    status: int
+    is_late: bool
+    is_entry_stopping: bool
+
+
 class History:
     """Collect sends, arrivals and ends, and what breaks a promise at once."""
 
@@ -32,6 +42,7 @@
         self.arrivals: list[Arrival] = []
         self.forbidden: dict[str, str] = {}
         self.unanswered: set[str] = set()
+        self.endings: dict[str, Ending] = {}
         self.wrong: list[str] = []
 
     def judge(self, limited: str) -> list[str]:
@@ -49,6 +60,7 @@
                 self.wrong.append(f'{request_id} ran, its answer was lost')
         self._judge_rate(limited)
         self._judge_repeats()
+        self._judge_planned_stops(set(runs))
         if not runs or 200 not in self.ends.values():
             self.wrong.append('nothing was served')
         return self.wrong
@@ -85,6 +97,17 @@
                 self.wrong.append(f'{count} repeats of {requests} requests')
                 return
 
+    def _judge_planned_stops(self, begun: set[str]) -> None:
+        for request_id, ending in self.endings.items():
+            is_given_up = ending.status == CLOSED or (
+                ending.status not in {200, *REFUSALS} and not ending.is_late
+            )
+            if request_id in begun and is_given_up:
+                reason = f'was given up at work, status {ending.status}'
+                self.wrong.append(f'{request_id} {reason}')
+            elif ending.status == BAD_GATEWAY and not ending.is_entry_stopping:
+                self.wrong.append(f'{request_id} got 502 at a node that stays')
+
 
 def _most_within(times: list[float], span: float) -> int:
     most = first = 0
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -61,6 +61,9 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.acknowledged_leave = float('inf')
         self.is_failing = False
+        self.announce_s = 0.5
+        self.longest_work_s = 0.15
+        self.told_to_stop = float('inf')
 
     async def prepare(
         self, platform: RedirectingStore, store_port: int, rng: random.Random
@@ -106,12 +109,13 @@
         self.history.arrivals.append(arrival)
         if now > self.acknowledged_leave + DRAIN_S:
             self.history.wrong.append(f'{arrival.request_id} ran late')
-        await asyncio.sleep(self.rng.uniform(0.005, 0.15))
+        await asyncio.sleep(self.rng.uniform(0.005, self.longest_work_s))
         return CallerResponse(500 if self.is_failing else 200, [], call.target)
 
     def start(self) -> None:
         """Start the process unless it runs."""
         if not self.is_alive():
+            self.told_to_stop = float('inf')
             with self.log.open('ab') as output:
                 self.process = subprocess.Popen(
                     [sys.executable, '-m', 'jasmineramp.platform'],
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,7 +16,7 @@
 
 from tests.fakes.mesh import CONFIGURATION, HOST, KEY
 from tests.soak.caller import ClosedError, KeptConnection
-from tests.soak.history import BURST, RATE, History
+from tests.soak.history import BURST, CLOSED, RATE, Ending, History
 from tests.soak.member import MEMORY_MIB, Member, RedirectingStore
 from tests.soak.proxy import Mode
 
@@ -26,7 +26,13 @@
 CALLERS = 6
 GREEDY_CALLERS = 3
 KEPT_CALLERS = 3
+ROLLING_CALLERS = 4
 SETTLE_S = 10.0
+DEADLINE_S = 2.0
+# Callers see two failed readiness checks, then open no more connections.
+READINESS_S = 2.0
+RESTART_S = 3.0
+ROLLING_SETTLE_S = 5.0
 PAUSE_S = 0.01
 # Three callers ask for about three times the rate.
 LIMITED_PAUSE_S = 0.04
@@ -53,9 +59,12 @@
 class Soak:
     """Drive one seeded run and collect the broken promises."""
 
-    def __init__(self, seed: int, seconds: float, nodes: int) -> None:
+    def __init__(
+        self, seed: int, seconds: float, nodes: int, rounds: int = 0
+    ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
+        self.rounds = rounds
         self.store = RedirectingStore()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         self.history = History()
@@ -64,6 +73,7 @@
         ]
         self.edited = float('inf')
         self.is_revoked = False
+        self.is_over = False
         self.count = 0
 
     async def run(self) -> list[str]:
@@ -86,6 +96,9 @@
             await member.prepare(self.store, port, self.rng)
             stack.callback(member.close)
             member.start()
+        if self.rounds:
+            # A proxy accepts connections for a process that is gone.
+            self.store.ports.clear()
         work = [
             asyncio.create_task(self._announce(each)) for each in self.members
         ]
@@ -104,6 +117,8 @@
         await self._disturb_until(end - SETTLE_S)
         await self._settle_until(end)
         await asyncio.gather(*callers)
+        if self.rounds:
+            await self._roll()
         for task in work:
             task.cancel()
         # Whatever still runs late must show before the history is judged.
@@ -141,7 +156,7 @@
             if member.acknowledged_leave < float('inf'):
                 state = 'draining'
             await member.announce(state)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(member.announce_s)
 
     async def _call_until(self, end: float, key: str, pause: float) -> None:
         """Call nodes at random, on kept connections or on new ones."""
@@ -182,7 +197,7 @@
             {
                 'Host': 'a.example',
                 'X-Jasmineramp-Request-Id': request_id,
-                'X-Jasmineramp-Deadline-Ms': '2000',
+                'X-Jasmineramp-Deadline-Ms': f'{DEADLINE_S * 1000:.0f}',
                 'X-Jasmineramp-Credential': key,
             },
         )
@@ -243,6 +258,67 @@
             await asyncio.sleep(0.005)
         connection.close()
 
+    async def _roll(self) -> None:
+        """Stop node after node as planned, with nothing else going wrong."""
+        self._heal()
+        self._configure(first_configuration())
+        self.is_revoked = False
+        self.edited = float('inf')
+        for member in self.members:
+            member.announce_s = 1.5
+            member.longest_work_s = 0.6
+        await self._until_ready()
+        await asyncio.sleep(ROLLING_SETTLE_S)
+        callers = [
+            asyncio.create_task(self._call_in_stops(member))
+            for member in self.members * ROLLING_CALLERS
+        ]
+        order = self.rng.sample(self.members, len(self.members))
+        for _ in range(self.rounds):
+            restarts = []
+            for member in order:
+                restarts.append(asyncio.create_task(self._restart(member)))
+                await asyncio.sleep(self.rng.uniform(0.8, 1.2))
+            await asyncio.gather(*restarts)
+        await asyncio.sleep(RESTART_S)
+        self.is_over = True
+        await asyncio.gather(*callers)
+
+    async def _restart(self, member: Member) -> None:
+        """Stop a node as planned, and start it after its process is gone."""
+        member.told_to_stop = time.monotonic()
+        member.send(signal.SIGTERM)
+        await asyncio.sleep(RESTART_S)
+        async with asyncio.timeout(10):
+            while member.is_alive():
+                await asyncio.sleep(0.05)
+        member.start()
+
+    async def _call_in_stops(self, member: Member) -> None:
+        """Call a node on an open connection, stopping or not."""
+        connection = KeptConnection(member.ports['outbound'])
+        while not self.is_over:
+            await asyncio.sleep(0.005)
+            told = member.told_to_stop
+            is_unready = time.monotonic() > told + READINESS_S
+            if connection.writer is None and is_unready:
+                continue
+            path = self.rng.choice(('/read/', '/buy/', '/buy/'))
+            request_id = self._next_id(path)
+            try:
+                status = await self._send(connection, path, request_id, KEY)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            except ClosedError:
+                status = CLOSED
+            self.history.endings[request_id] = Ending(
+                status,
+                time.monotonic() >= self.history.sent[request_id] + DEADLINE_S,
+                min(told, member.told_to_stop) < float('inf'),
+            )
+        connection.close()
+
     async def _disturb(self) -> None:
         member = self.rng.choice(self.members)
         span = self.rng.uniform(0.2, 3)
@@ -314,10 +390,11 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--nodes', type=int, default=4)
+    parser.add_argument('--rounds', type=int, default=0)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.seconds, options.nodes)
+        soak = Soak(seed, options.seconds, options.nodes, options.rounds)
         wrong = asyncio.run(soak.run())
         served = sum(each == 200 for each in soak.history.ends.values())
         print(f'seed {seed}: {served} of {soak.count} served, {wrong or "ok"}')
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -14,6 +14,9 @@
 REGRESSION_SEEDS = (625,)
 REGRESSION_SECONDS = 18
 REGRESSION_NODES = 4
+ROLLING_SEED = 2
+ROLLING_NODES = 6
+ROUNDS = 2
 
 
 class SoakTest(unittest.TestCase):
@@ -29,6 +32,11 @@
                 soak = Soak(seed, REGRESSION_SECONDS, REGRESSION_NODES)
                 self.assertEqual(asyncio.run(soak.run()), [])
 
+    def test_rolling_stops(self) -> None:
+        """Planned stops that overlap cut off no call at work."""
+        soak = Soak(ROLLING_SEED, SECONDS, ROLLING_NODES, ROUNDS)
+        self.assertEqual(asyncio.run(soak.run()), [])
+
     def test_nodes_end_with_a_run_that_fails_early(self) -> None:
         """A fleet that never becomes ready leaves no process behind."""
         soak = Soak(SEED, SECONDS, NODES)
