--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -233,6 +233,7 @@
             self.gate,
             admission=self.admission,
             withdraw_upstream=self._withdraw_upstream,
+            has_unsent_replies=self.local_upstream.has_unsent_replies,
             clock=self.clock,
         )
         self.log.write('node_stopping', open=stop.open_calls())
@@ -253,6 +254,10 @@
         self.gate.pool.close()
         self.log.flush()
 
+    def greet_peer(self, session: PeerSession) -> None:
+        """Tell a peer that has just connected if calls are refused."""
+        self.local_upstream.greet_peer(session)
+
     def run_for_peer(self, session: PeerSession, frame: RunRequest) -> None:
         """Run a call received from a peer at the upstream of this VM."""
         loop = asyncio.get_running_loop()
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -1,6 +1,7 @@
 """Exchange frames with the nodes of other VMs over TCP."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -46,6 +47,9 @@
 class PeerRequestHandler(Protocol):
     """Handle the requests that peers send to this node."""
 
+    def greet_peer(self, session: 'PeerSession') -> None:
+        """Tell a peer that has just connected what it may not know yet."""
+
     def run_for_peer(self, session: 'PeerSession', frame: RunRequest) -> None:
         """Run a call at the upstream of this VM."""
 
@@ -89,6 +93,10 @@
         if self.is_open:
             self.transport.write(encode_frame(frame))
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a frame is still in the write buffer."""
+        return self.is_open and self.transport.get_write_buffer_size() > 0
+
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         raise NotImplementedError
@@ -119,6 +127,8 @@
             case Hello() if frame.version != PROTOCOL_VERSION:
                 # The peer marks this node unreachable and calls other nodes.
                 self.transport.abort()
+            case Hello():
+                self.handler.greet_peer(self)
             case RunRequest():
                 self.handler.run_for_peer(self, frame)
             case Cancel():
@@ -171,6 +181,8 @@
         self.on_change = on_change
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        # One for each request that waits for the connection.
+        self.waiters: set[object] = set()
         self.failed_at = float('-inf')
         self.pending_replies: dict[int, asyncio.Future[PeerFrame]] = {}
         self.next_stream = 0
@@ -184,6 +196,10 @@
         """Return whether the link is down after a loss or failed connect."""
         return not self.is_up() and self.failed_at > float('-inf')
 
+    def is_in_use(self) -> bool:
+        """Return whether requests wait for replies or for the connection."""
+        return bool(self.pending_replies or self.waiters)
+
     def start_connecting(self) -> None:
         """Start connecting unless connected, connecting or in the delay."""
         now = asyncio.get_running_loop().time()
@@ -202,7 +218,12 @@
             return self.is_up()
         self.start_connecting()
         if self.connecting is not None:
-            await asyncio.shield(self.connecting)
+            with contextlib.ExitStack() as stack:
+                waiter = object()
+                self.waiters.add(waiter)
+                stack.callback(self.waiters.discard, waiter)
+                # Unlike a plain await, this outlives a cancelled attempt.
+                await asyncio.wait((self.connecting,))
         return self.is_up()
 
     def send_request(
@@ -275,12 +296,18 @@
             if not future.done():
                 future.set_exception(LinkLostError(self.peer))
 
+    def retire(self) -> None:
+        """Stop reporting changes; requests in progress go on."""
+        self.on_change = _ignore_change
+        self.on_state = _ignore_state
+
     def close(self) -> None:
         """Close the connection permanently and stop reporting changes."""
-        self.on_change = _ignore_change
+        self.retire()
         if self.connecting is not None:
             self.connecting.cancel()
         if self.connection is not None:
+            self.connection.is_open = False
             self.connection.transport.close()
 
     async def _connect(self) -> None:
@@ -307,7 +334,11 @@
 
 
 def _ignore_change(_peer: NodeId, _reason: str) -> None:
-    """Ignore a change of a link that was closed."""
+    """Ignore a change of a link that was retired."""
+
+
+def _ignore_state(_frame: StateChanged) -> None:
+    """Ignore what a retired link reports about its upstream."""
 
 
 def _set_tcp_options(transport: asyncio.Transport) -> None:
