Let the store of the soak return from older copies

The soak had a store that loses nothing, so it could not show what a return from an older copy breaks.

Cause: no disturbance restored a copy, the operator edited the configuration only after the disturbances, and all configurations had the same version.

Change: each configuration has the next version, also in the runs without returns. Other writers don't repeat theirs, so the versions get other revisions than before. The last return is the last edit. Checked from the view of callers: a removed route doesn't run later than the apply bound and touch after the removal; a process that served a route and then did not know it does not serve it again; a stored route is not answered with 404 after the apply bound; 5 to 9 s after all has healed each node serves each present route.

The check stays as strict.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -15,6 +15,7 @@
 REFUSALS = frozenset((429, 503))
 CLOSED = 0
 BAD_GATEWAY = 502
+NOT_FOUND = 404
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -43,8 +44,23 @@
         self.forbidden: dict[str, str] = {}
         self.unanswered: set[str] = set()
         self.endings: dict[str, Ending] = {}
+        self.known: set[str] = set()
+        self.gone: set[str] = set()
         self.wrong: list[str] = []
 
+    def note_route(self, place: str, request_id: str, status: int) -> None:
+        """Record the status of a route that is added and removed once.
+
+        The place is a process and the path. A process that has served a route
+        and then does not know it must not serve it again.
+        """
+        if status == 200:
+            self.known.add(place)
+            if place in self.gone:
+                self.wrong.append(f'{request_id} ran on a route that came back')
+        elif status == NOT_FOUND and place in self.known:
+            self.gone.add(place)
+
     def judge(self, limited: str) -> list[str]:
         """Return the broken promises; one workspace has the rate limit."""
         runs = Counter(each.request_id for each in self.arrivals)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,7 +4,6 @@
 import asyncio
 import contextlib
 import copy
-import json
 import pathlib
 import random
 import signal
@@ -16,8 +15,16 @@
 
 from tests.fakes.mesh import CONFIGURATION, HOST, KEY
 from tests.soak.caller import ClosedError, KeptConnection
-from tests.soak.history import BURST, CLOSED, RATE, Ending, History
+from tests.soak.history import (
+    BURST,
+    CLOSED,
+    NOT_FOUND,
+    RATE,
+    Ending,
+    History,
+)
 from tests.soak.member import MEMORY_MIB, Member, RedirectingStore
+from tests.soak.operator import LONGEST_RETURN_S, Operator
 from tests.soak.proxy import Mode
 
 APPLY_S = 2.0
@@ -33,6 +40,12 @@
 READINESS_S = 2.0
 RESTART_S = 3.0
 ROLLING_SETTLE_S = 5.0
+# Calls on added routes, which come and go.
+ADDED_PAUSE_S = 0.02
+# The longest time until each node serves each route after all has healed; a
+# node that stops as planned starts again first.
+SERVED_S = 9.0
+RESTORE_S = LONGEST_RETURN_S + SERVED_S
 PAUSE_S = 0.01
 # Three callers ask for about three times the rate.
 LIMITED_PAUSE_S = 0.04
@@ -60,12 +73,20 @@
     """Drive one seeded run and collect the broken promises."""
 
     def __init__(
-        self, seed: int, seconds: float, nodes: int, rounds: int = 0
+        self,
+        seed: int,
+        seconds: float,
+        nodes: int,
+        rounds: int = 0,
+        *,
+        is_restored: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.rounds = rounds
+        self.is_restored = is_restored
         self.store = RedirectingStore()
+        self.operator = Operator(seed, self.store)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         self.history = History()
         self.members = [
@@ -91,7 +112,7 @@
     async def _drive(self, stack: contextlib.ExitStack) -> None:
         """Call and disturb nodes that the stack ends, whatever happens."""
         port = await self.store.listen(HOST, 0)
-        self._configure(first_configuration())
+        self.operator.write(first_configuration())
         for member in self.members:
             await member.prepare(self.store, port, self.rng)
             stack.callback(member.close)
@@ -114,7 +135,11 @@
             )
             for _ in range(GREEDY_CALLERS)
         ]
-        await self._disturb_until(end - SETTLE_S)
+        if self.is_restored:
+            callers.append(asyncio.create_task(self._call_added_until(end)))
+            await self._restore_until(end - SETTLE_S - RESTORE_S)
+        else:
+            await self._disturb_until(end - SETTLE_S)
         await self._settle_until(end)
         await asyncio.gather(*callers)
         if self.rounds:
@@ -129,9 +154,6 @@
                     f'node {member.number} grew to {member.peak_mib():.0f} MiB'
                 )
 
-    def _configure(self, configuration: dict[str, object]) -> None:
-        self.store.write('op/config', json.dumps(configuration).encode())
-
     async def _until_ready(self) -> None:
         async with asyncio.timeout(30):
             while True:
@@ -185,6 +207,8 @@
                 self.history.forbidden[request_id] = 'with a withdrawn key'
         elif path == '/old/' and now > self.edited + APPLY_S + TOUCH_S:
             self.history.forbidden[request_id] = 'by an older table'
+        elif now > self.operator.removed.get(path, now) + APPLY_S + TOUCH_S:
+            self.history.forbidden[request_id] = 'on a removed route'
         return request_id
 
     async def _send(
@@ -211,10 +235,74 @@
             await asyncio.sleep(self.rng.uniform(0.1, 1.0))
             asyncio.get_running_loop().create_task(self._disturb())
 
+    async def _restore_until(self, end: float) -> None:
+        """Disturb while the store returns from copies, then await routes."""
+        disturbing = asyncio.create_task(self._disturb_until(float('inf')))
+        await self.operator.return_until(end, first_configuration())
+        disturbing.cancel()
+        self._heal()
+        healed = time.monotonic()
+        # Until then nodes use a table that no read confirms any more.
+        await asyncio.sleep(REVOKE_S)
+        while missing := await self._find_unserved():
+            if time.monotonic() > healed + SERVED_S:
+                self.history.wrong += missing
+                return
+            await asyncio.sleep(0.1)
+
+    async def _find_unserved(self) -> list[str]:
+        """Return each node that doesn't serve a present route."""
+        asked = [
+            (member, path)
+            for path in ('/read/', *self.operator.added)
+            for member in self.members
+        ]
+        statuses = await asyncio.gather(
+            *(self._call_added(*each) for each in asked)
+        )
+        return [
+            f'node {member.number} answers {status} on {path}'
+            for (member, path), status in zip(asked, statuses, strict=True)
+            if status != 200
+        ]
+
+    async def _call_added_until(self, end: float) -> None:
+        """Call nodes on routes that the operator has added or removed."""
+        while time.monotonic() < end:
+            await asyncio.sleep(ADDED_PAUSE_S)
+            paths = [*self.operator.added, *self.operator.removed]
+            if paths:
+                rng = self.operator.rng
+                await self._call_added(
+                    rng.choice(self.members), rng.choice(paths)
+                )
+
+    async def _call_added(self, member: Member, path: str) -> int:
+        connection = KeptConnection(member.ports['outbound'])
+        process = member.process
+        request_id = self._next_id(path)
+        sent = time.monotonic()
+        try:
+            status = await self._send(connection, path, request_id, KEY)
+        except UNREACHED:
+            return CLOSED
+        finally:
+            connection.close()
+        if request_id in self.history.forbidden:
+            self.history.forbidden[request_id] += f', sent to {member.number}'
+        stored = self.operator.stored_since(path)
+        if status == NOT_FOUND and sent > stored + APPLY_S:
+            self.history.wrong.append(
+                f'{request_id} got 404 at node {member.number}'
+            )
+        if process is not None and member.process is process:
+            self.history.note_route(f'{process.pid}{path}', request_id, status)
+        return status
+
     async def _settle_until(self, end: float) -> None:
         """Heal everything, edit the table, then stop a node as planned."""
         self._heal()
-        table = first_configuration()
+        table = self.operator.extend(first_configuration())
         del table['routes']['old']  # type: ignore[attr-defined]
         # Withdrawn keys would leave the planned stop without traffic. They
         # are withdrawn while no node can learn of it.
@@ -222,7 +310,7 @@
             for tenant in table['tenants'].values():  # type: ignore
                 tenant['apiKeys'] = []
             self.is_revoked = True
-        self._configure(table)
+        self.operator.write(table)
         if self.is_revoked:
             self.store.fault = Fault.silent
         self.edited = time.monotonic()
@@ -261,7 +349,7 @@
     async def _roll(self) -> None:
         """Stop node after node as planned, with nothing else going wrong."""
         self._heal()
-        self._configure(first_configuration())
+        self.operator.write(first_configuration())
         self.is_revoked = False
         self.edited = float('inf')
         for member in self.members:
@@ -391,16 +479,26 @@
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--nodes', type=int, default=4)
     parser.add_argument('--rounds', type=int, default=0)
+    parser.add_argument('--restored', action='store_true')
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.seconds, options.nodes, options.rounds)
+        soak = Soak(
+            seed,
+            options.seconds,
+            options.nodes,
+            options.rounds,
+            is_restored=options.restored,
+        )
         wrong = asyncio.run(soak.run())
         served = sum(each == 200 for each in soak.history.ends.values())
         print(f'seed {seed}: {served} of {soak.count} served, {wrong or "ok"}')
         if wrong:
             print(f'logs in {soak.folder}')
             failed += 1
+        if options.restored:
+            operator = soak.operator
+            print(f'{operator.returns} returns lost {operator.lost} versions')
     return int(failed > 0)
 
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -17,6 +17,8 @@
 ROLLING_SEED = 2
 ROLLING_NODES = 6
 ROUNDS = 2
+RESTORED_SEED = 3
+RESTORED_SECONDS = 30
 
 
 class SoakTest(unittest.TestCase):
@@ -37,6 +39,12 @@
         soak = Soak(ROLLING_SEED, SECONDS, ROLLING_NODES, ROUNDS)
         self.assertEqual(asyncio.run(soak.run()), [])
 
+    def test_store_that_returns_from_older_copies(self) -> None:
+        """No older table comes back, and each route is served again."""
+        soak = Soak(RESTORED_SEED, RESTORED_SECONDS, NODES, is_restored=True)
+        self.assertEqual(asyncio.run(soak.run()), [])
+        self.assertGreater(soak.operator.lost, 0)
+
     def test_nodes_end_with_a_run_that_fails_early(self) -> None:
         """A fleet that never becomes ready leaves no process behind."""
         soak = Soak(SEED, SECONDS, NODES)
