Ask the other nodes soon after the first read of the table

A node that had just started could use the older configuration of a returned store for 1.4 s, though its peers had a later one.

Cause: it asked them only after a whole interval between two reads.

Change: after its first read a process waits 100 ms and asks the others. It reads the store no more often.

Run: test_others_are_asked_soon_after_the_first_read failed before (no wait of 0.1 s); tests of the table, the relay and the restored store: 25 pass.

--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -19,6 +19,9 @@
 RARE_READ_INTERVAL_FRACTION = 0.7
 # Nodes that ask the leader of their domain get the table later by this time.
 LEADER_POLL_INTERVAL_MS = 400
+# After its first read a process asks the others, which may have a later table
+# than a store that has returned from an older copy.
+FIRST_POLL_DELAY_MS = 100
 # A node that need not read the store for others tries again after this time.
 RETRY_INTERVAL_MS = 2_000
 
@@ -73,12 +76,16 @@
         """Read the table until cancelled."""
         while True:
             started = self.clock.now()
+            is_first = not self.content
             if await self.ask_leader() or (
                 self.has_failed_recently(started) and not self.is_candidate()
             ):
                 wait = float(LEADER_POLL_INTERVAL_MS)
             elif await self.read():
                 self.backoff.reset()
+                if is_first:
+                    await asyncio.sleep(FIRST_POLL_DELAY_MS / MILLIS_PER_SECOND)
+                    await self.ask_leader()
                 interval = self._read_interval_ms()
                 wait = max(0, started + interval - self.clock.now())
             else:
--- a/tests/mesh/test_table_watch.py
+++ b/tests/mesh/test_table_watch.py
@@ -1,5 +1,6 @@
 """Test which tables replace or confirm the one of a node."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -8,8 +9,9 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.route_table import RouteTable
+from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
 from jasmineramp.mesh.store_revisions import make_revision
-from jasmineramp.mesh.table_watch import TableWatch
+from jasmineramp.mesh.table_watch import FIRST_POLL_DELAY_MS, TableWatch
 from jasmineramp.platform.store_client import StoreClient
 
 
@@ -102,3 +104,32 @@
             self.assertFalse(self.apply(0, 20, b'5'))
         decoder.assert_not_called()
         self.assertEqual(self.tables, ['5', '6'])
+
+
+class FirstReadTest(unittest.IsolatedAsyncioTestCase):
+    """Test a process that has just started."""
+
+    # Guards against a process that uses the older table of a returned store
+    # for a whole interval between two reads, though its peers have a later one.
+    async def test_others_are_asked_soon_after_the_first_read(self) -> None:
+        item = StoreItem('table', Revision(1), b'5')
+        reply = StoreReply(StoreOutcome.done, Revision(1), (item,))
+        watch = TableWatch(
+            mock.Mock(get=mock.AsyncMock(return_value=reply)),
+            'table',
+            decode,
+            on_table=mock.Mock(),
+            freshness=Freshness(apply_ms=2000, revoke_ms=5000),
+            log=DecisionLog(NodeId('n0'), 1),
+            clock=ManualClock(),
+        )
+        watch.ask_leader = mock.AsyncMock(return_value=False)
+        pauses = mock.AsyncMock(side_effect=[None, asyncio.CancelledError])
+        with (
+            mock.patch.object(asyncio, 'sleep', pauses),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await watch.run()
+        pauses.assert_any_await(FIRST_POLL_DELAY_MS / 1000)
+        self.assertEqual(watch.ask_leader.await_count, 2)
+        self.assertEqual(watch.store.get.await_count, 1)
