Separate the note of an era from the choice of a list

Cause: a read-through: a method whose name asks a question changed the state.

Behaviour and assertions stay.

Run: tests.mesh.test_directory_watch, test_names and test_store_client pass.

--- a/src/jasmineramp/mesh/directory_watch.py
+++ b/src/jasmineramp/mesh/directory_watch.py
@@ -126,16 +126,19 @@
         )
         return self.backoff.next()
 
-    def _may_list_stale(self) -> bool:
-        now = self.clock.now()
+    def _note_era(self) -> None:
+        """Record when a new era began, unless it is the first one seen."""
         if self.era != self.store.era:
             if self.is_known():
-                self.era_began_at = now
+                self.era_began_at = self.clock.now()
             self.era = self.store.era
-        is_era_old = now - self.era_began_at > STALENESS_MS
-        return is_era_old and not self.needs_current_list
+
+    def _may_list_stale(self) -> bool:
+        era_age_ms = self.clock.now() - self.era_began_at
+        return era_age_ms > STALENESS_MS and not self.needs_current_list
 
     async def _list(self) -> float:
+        self._note_era()
         reply = await self.store.list_items(
             KEY_PREFIX, stale=self._may_list_stale()
         )
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -106,7 +106,7 @@
         self.era = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store the era."""
+        """Read the era from its header."""
         if name.lower() == _ERA_HEADER and value.isdigit():
             self.era = int(value)
 
