--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -387,6 +387,7 @@
         # An instance that reads slowly pauses after each piece of a body.
         self.read_pause_s = 0
         self.buffer_bytes = 1 << 22
+        self.window_bytes = 0
         self.server = None
         self.beating = None
         self.writers = set()
@@ -398,6 +399,11 @@
         self.server = await asyncio.start_server(
             self._serve, self.host, 0, limit=self.buffer_bytes
         )
+        if self.window_bytes:
+            # Links have small windows.
+            self.server.sockets[0].setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.window_bytes
+            )
         port = self.server.sockets[0].getsockname()[1]
         self.address = f'{self.host}:{port}'
         return self.address
