Refuse calls that may outlast a stopping node

Cause: a stopping node admitted new calls until 3.2 s after the signal and ended 0.86 of the grace period after it, without comparing the deadline of a call with the time that was left.

Change: after 2.4 s, when callers have had two readiness checks to leave, a new call is admitted only if its deadline ends within the stop; others are refused as not run. A call made by a running call gets a deadline within the stop.

Tests, before the change: test_call_that_may_outlast_the_node_is_refused (admitted), test_call_of_a_running_call_ends_before_the_node (1200 != 1050) and LongCallTest failed. NewConnectionTest gave the stop a clock of another origin than the node's, which the deadline shows; it now starts at the node's time, its checks are the same.

Conclusion: no call is passed on that the node may have to cut, except those admitted before callers could leave.

--- a/src/jasmineramp/mesh/caller_admission.py
+++ b/src/jasmineramp/mesh/caller_admission.py
@@ -58,6 +58,8 @@
         self.freshness = freshness
         self.table: RouteTable | None = None
         self.is_refusing = False
+        # A stopping node cuts off what lasts longer.
+        self.latest_end = Millis(float('inf'))
 
     async def admit(
         self, request: CallerRequest, head: CallHead, received: Millis
@@ -78,13 +80,29 @@
         route = table.find(head.host, target.partition('?')[0])
         if route is None:
             return self._deny(RefusalCode.route_unknown, received)
+        deadline = _deadline_of(route, head, received)
+        if deadline.earliest() > self.latest_end:
+            if not self._is_made_by_running_call(head):
+                return not_run_failure(
+                    RefusalCode.draining,
+                    'the call may last longer than the stopping node',
+                )
+            # Refused, it would fail the call that makes it.
+            deadline = deadline.shorten(self.latest_end)
         workspace: RankedWorkspace | None = None
         if table.has_workspaces and not route.is_open:
             authenticated = await self._authenticate(table, head, received)
             if isinstance(authenticated, Failure):
                 return authenticated
             workspace = authenticated
-        return self._plan(request, head, route, workspace, received)
+        return self._plan(
+            request,
+            head,
+            route,
+            workspace,
+            deadline=deadline,
+            received=received,
+        )
 
     def _is_made_by_running_call(self, head: CallHead) -> bool:
         """Return whether the id names a call that runs at the upstream."""
@@ -138,15 +156,10 @@
         head: CallHead,
         route: RouteRow,
         workspace: RankedWorkspace | None,
+        *,
+        deadline: Deadline,
         received: Millis,
     ) -> AdmittedCall:
-        caller_timeout_ms = head.deadline_ms
-        if caller_timeout_ms is None:
-            caller_timeout_ms = DEFAULT_TIMEOUT_MS
-        deadline = Deadline(
-            later(received, caller_timeout_ms),
-            later(received, route.timeout_ms),
-        )
         origin = self._find_origin(head, workspace)
         service = self.split.choose(route)
         call = UpstreamCall(
@@ -187,6 +200,16 @@
         return origin
 
 
+def _deadline_of(route: RouteRow, head: CallHead, received: Millis) -> Deadline:
+    caller_timeout_ms = head.deadline_ms
+    if caller_timeout_ms is None:
+        caller_timeout_ms = DEFAULT_TIMEOUT_MS
+    return Deadline(
+        later(received, caller_timeout_ms),
+        later(received, route.timeout_ms),
+    )
+
+
 def _max_wait_ms(route: RouteRow) -> float:
     """Return how long a call may wait and still reach its objective."""
     if not route.objective_ms:
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -151,3 +151,7 @@
     def earliest(self) -> Millis:
         """Return the earlier of the two deadlines."""
         return min(self.caller_limit, self.route_limit)
+
+    def shorten(self, limit: Millis) -> 'Deadline':
+        """Return the deadline that is no later than a limit."""
+        return Deadline(min(self.caller_limit, limit), self.route_limit)
--- a/src/jasmineramp/mesh/graceful_stop.py
+++ b/src/jasmineramp/mesh/graceful_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import Clock, Millis, later
 from jasmineramp.mesh.caller_admission import CallerAdmission
 from jasmineramp.mesh.caller_http import CallerServer
 from jasmineramp.mesh.instance_gate import InstanceGate
@@ -18,6 +18,8 @@
 ADMISSION_CLOSE_DELAY_MS = 3_200
 # The rest of the grace period is reserved for the exit of the process.
 USABLE_GRACE_FRACTION = 0.86
+# Time for the answer to a call that ends at its deadline to be sent.
+LAST_ANSWER_MARGIN_MS = 200
 
 
 class GracefulStop:
@@ -58,6 +60,7 @@
         """Return when the node is idle or the grace period is nearly over."""
         self.caller_server.drain()
         drain_limit_ms = self.grace_ms * USABLE_GRACE_FRACTION
+        latest_end = later(started, drain_limit_ms - LAST_ANSWER_MARGIN_MS)
         while True:
             elapsed_ms = self.clock.now() - started
             if (
@@ -68,6 +71,9 @@
             if elapsed_ms > ADMISSION_CLOSE_DELAY_MS:
                 self.admission.is_refusing = True
             if elapsed_ms > CALLER_CLOSE_DELAY_MS:
+                # Callers have had the time to leave; one that has not must
+                # not be cut off.
+                self.admission.latest_end = latest_end
                 self.caller_server.close_idle()
             if elapsed_ms > drain_limit_ms or (
                 self.is_idle() and elapsed_ms > CALLER_CLOSE_DELAY_MS
--- a/tests/mesh/test_caller_admission.py
+++ b/tests/mesh/test_caller_admission.py
@@ -95,6 +95,28 @@
                 self.assertEqual(refusal.code, RefusalCode.draining)
                 self.assertIs(refusal.run, RunState.not_run)
 
+    # Guards against requests that a stopping node passes on and then cuts off,
+    # because they may last longer than the node.
+    async def test_call_that_may_outlast_the_node_is_refused(self) -> None:
+        self.admission.is_refusing = False
+        self.admission.latest_end = Millis(NOW + 199)
+        refusal = await self.admit('b2')
+        assert isinstance(refusal, Failure)
+        self.assertEqual(refusal.code, RefusalCode.draining)
+        self.assertIs(refusal.run, RunState.not_run)
+
+    async def test_call_that_ends_before_the_node_is_admitted(self) -> None:
+        self.admission.is_refusing = False
+        self.admission.latest_end = Millis(NOW + 200)
+        self.assertIsInstance(await self.admit('b2'), AdmittedCall)
+
+    # Guards against calls of the upstream that the end of the node cuts off.
+    async def test_call_of_a_running_call_ends_before_the_node(self) -> None:
+        self.admission.latest_end = Millis(NOW + 50)
+        admitted = await self.admit('a1.b2')
+        assert isinstance(admitted, AdmittedCall)
+        self.assertEqual(admitted.deadline.earliest(), NOW + 50)
+
     # Guards against a parent that stands in for the checks of its calls.
     async def test_call_of_a_running_call_needs_a_route(self) -> None:
         refusal = await self.admit('a1.b2', b'/none/1')
--- a/tests/mesh/test_graceful_stop.py
+++ b/tests/mesh/test_graceful_stop.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from jasmineramp.clock import ORIGIN, ManualClock, Millis
+from jasmineramp.clock import ManualClock, later
 from jasmineramp.ids import NodeId, RowName, ServiceName, WorkspaceId
 from jasmineramp.mesh import graceful_stop
 from jasmineramp.mesh.caller_http import CallerResponse
@@ -40,6 +40,7 @@
 # More than the kernel takes of a reply whose peer does not read it.
 LONG_BODY_BYTES = 8 * MEBIBYTE
 PEER_BUFFER_BYTES = 65_536
+GRACE_MS = 1_500
 
 
 def make_call() -> UpstreamCall:
@@ -97,6 +98,59 @@
         await stop
 
 
+class LongCallTest(unittest.IsolatedAsyncioTestCase):
+    """Test requests that may last longer than the stopping node."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(2)
+        self.addAsyncCleanup(self.fleet.close)
+        self.node = self.fleet.nodes[0]
+        bounds = msgspec.structs.replace(
+            self.node.settings.bounds, grace_ms=GRACE_MS
+        )
+        self.node.reload(
+            msgspec.structs.replace(self.node.settings, bounds=bounds)
+        )
+        for name, delay_ms in (
+            ('UPSTREAM_WITHDRAWAL_DELAY_MS', 0),
+            ('CALLER_CLOSE_DELAY_MS', GRACE_MS / 6),
+            ('ADMISSION_CLOSE_DELAY_MS', GRACE_MS),
+        ):
+            patch = mock.patch.object(graceful_stop, name, delay_ms)
+            patch.start()
+            self.addCleanup(patch.stop)
+        # Keeps the node from ending as an idle one.
+        _, writer = await asyncio.open_connection(*self.node.settings.outbound)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST[:-2])
+
+    async def work(self, request: CallerRequest) -> CallerResponse:
+        """Work for longer than the node has left."""
+        await asyncio.sleep(GRACE_MS / 1000)
+        return CallerResponse(200, [], request.target)
+
+    # Guards against LOST: a request that was passed on late in the stop and
+    # whose connection ended without an answer when the process did.
+    async def test_request_of_a_late_caller_is_answered(self) -> None:
+        self.fleet.upstreams[1].behave = self.work
+        stop = asyncio.create_task(self.node.stop())
+        await asyncio.sleep(GRACE_MS / 3000)
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'late')
+        self.assertEqual(status, 503)
+        self.assertFalse(self.fleet.upstreams[1].ran)
+        await stop
+
+    async def test_short_request_of_a_late_caller_is_served(self) -> None:
+        stop = asyncio.create_task(self.node.stop())
+        await asyncio.sleep(GRACE_MS / 3000)
+        status, _, _ = await self.fleet.call(
+            0, '/buy/1', 'late', deadline=GRACE_MS // 6
+        )
+        self.assertEqual(status, 200)
+        await stop
+
+
 class NewConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Test a stop that already closes the idle connections of callers.
 
@@ -108,6 +162,7 @@
         await self.fleet.start(1)
         self.addAsyncCleanup(self.fleet.close)
         self.node = self.fleet.nodes[0]
+        self.started = self.node.clock.now()
         self.stop = GracefulStop(
             self.node.settings.bounds.grace_ms,
             self.node.caller_server,
@@ -115,7 +170,7 @@
             admission=self.node.admission,
             withdraw_upstream=mock.AsyncMock(),
             has_unsent_replies=lambda: False,
-            clock=ManualClock(Millis(CALLER_CLOSE_DELAY_MS + 1)),
+            clock=ManualClock(later(self.started, CALLER_CLOSE_DELAY_MS + 1)),
         )
 
     async def connect(
@@ -135,7 +190,7 @@
     # caller sends on a new connection to a stopping node.
     async def test_request_on_a_new_connection_is_answered(self) -> None:
         reader, writer = await self.connect()
-        stop = asyncio.create_task(self.stop.run(ORIGIN))
+        stop = asyncio.create_task(self.stop.run(self.started))
         await asyncio.sleep(2 * POLL_S)
         writer.write(REQUEST)
         async with asyncio.timeout(TIMEOUT_S):
@@ -148,7 +203,7 @@
     async def test_silent_connection_does_not_prolong_the_stop(self) -> None:
         reader, _ = await self.connect()
         async with asyncio.timeout(TIMEOUT_S):
-            await self.stop.run(ORIGIN)
+            await self.stop.run(self.started)
             self.assertEqual(await reader.read(), b'')
 
 
