Keep departures apart from the lease of the entry

Cause: the departure was a field of the node's entry. A planned stop ends the lease of the entry, and a late heartbeat then counted as that of a new instance.

Change: departures are facts (instance, latest start that has left), stored in the same transaction as the entry under a lease of 120 s that a stop does not end. The next process reads both keys with one list.

Conclusion: a departure survives the lease, the entry and the process.

--- a/src/jasmineramp/mesh/directory.py
+++ b/src/jasmineramp/mesh/directory.py
@@ -5,9 +5,11 @@
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId, Revision, ServiceName
 from jasmineramp.membership_messages import Instance, Upstream, UpstreamState
+from jasmineramp.mesh.departures import Departed, decode_departures
 from jasmineramp.mesh.store import StoreItem
 
 KEY_PREFIX = 'jasmineramp/nodes/'
+_DEPARTURES_SUFFIX = '/departures'
 # Entries whose leases expired during a store outage are written again within
 # 2 s of its end.
 ABSENCE_GRACE_MS = 2_300
@@ -104,6 +106,8 @@
         return self.members.pop(node, None)
 
     def _put(self, item: StoreItem) -> MemberEntry | None:
+        if item.key.endswith(_DEPARTURES_SUFFIX):
+            return None
         entry = read_entry(item)
         if entry is None:
             self.unreadable.add(item.key)
@@ -127,15 +131,20 @@
     return entry if entry.node == _node_of(item.key) else None
 
 
+def read_departures(item: StoreItem) -> tuple[Departed, ...] | None:
+    """Return the departures in an item, None if it holds something else."""
+    return decode_departures(item.value or b'')
+
+
+def departures_key(node: NodeId) -> str:
+    """Return the store key of the departures of a node's instances."""
+    return f'{KEY_PREFIX}{node}{_DEPARTURES_SUFFIX}'
+
+
 def entry_key(node: NodeId) -> str:
     """Return the store key of a node's entry."""
     return f'{KEY_PREFIX}{node}'
 
 
-def max_revision(items: tuple[StoreItem, ...]) -> Revision:
-    """Return the highest revision among items, 0 if there are none."""
-    return max((each.revision for each in items), default=Revision(0))
-
-
 def _node_of(key: str) -> NodeId:
     return NodeId(key.removeprefix(KEY_PREFIX))
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -46,7 +46,9 @@
         self.log = log
         self.clock = clock
         self.sessions: set[PeerSession] = set()
-        self.registration = Registration(store, self._build_entry, log, clock)
+        self.registration = Registration(
+            store, self._build_entry, log, clock, self.record.departures
+        )
         self.registration.on_restored = self._restore
         gate.on_lost = self._on_lost
 
@@ -69,12 +71,7 @@
         else:
             changed = self._announce(announcement, now)
         if changed:
-            self.log.write(
-                'upstream_changed',
-                instance=self._instance_name(),
-                state=self.record.state.name,
-            )
-            self._publish_state()
+            self._report_change()
         if self.record.state is UpstreamState.draining:
             # Stored before it is acknowledged, so that a restarted node does
             # not use the upstream either.
@@ -110,6 +107,14 @@
         current = self.record.current
         return '' if current is None else current.instance
 
+    def _report_change(self) -> None:
+        self.log.write(
+            'upstream_changed',
+            instance=self._instance_name(),
+            state=self.record.state.name,
+        )
+        self._publish_state()
+
     def _publish_state(self) -> None:
         """Publish a change of the upstream to the gate, peers and store."""
         current = self.record.current
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -1,21 +1,38 @@
-"""Register this node in the store under a lease."""
+"""Register this node in the store under a lease.
+
+The departures of its instances are stored beside the entry and outlive it,
+under a lease of their own that nobody ends.
+"""
 
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
 from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.departures import (
+    DEPARTURE_RETENTION_MS,
+    Departed,
+    Departures,
+    encode_departures,
+)
 from jasmineramp.mesh.directory import (
     MemberEntry,
+    departures_key,
     entry_key,
-    max_revision,
+    read_departures,
     read_entry,
 )
-from jasmineramp.mesh.store import Store, StoreOutcome
+from jasmineramp.mesh.store import (
+    Store,
+    StoreItem,
+    StoreOutcome,
+    StoreWrite,
+)
 from jasmineramp.mesh.store_pauses import Backoff
 
 LEASE_TTL_MS = 8_000
@@ -27,6 +44,13 @@
 _encoder = msgspec.json.Encoder()
 
 
+class _OwnItems(NamedTuple):
+    """Hold the items of this node in the store, None for absent ones."""
+
+    entry: StoreItem | None
+    departures: StoreItem | None
+
+
 class Registration:
     """Maintain the directory entry of this node in the store."""
 
@@ -36,9 +60,12 @@
         make_entry: Callable[[int], MemberEntry],
         log: DecisionLog,
         clock: Clock,
+        departures: Departures | None = None,
     ) -> None:
         self.store = store
         self.make_entry = make_entry
+        self.departures = departures or Departures()
+        self.stored_departures: frozenset[Departed] = frozenset()
         self.log = log
         self.clock = clock
         self.version = 0
@@ -57,16 +84,17 @@
         self.backoff = Backoff()
 
     def mark_changed(self) -> None:
-        """Schedule a write unless the stored entry has the same content."""
+        """Schedule a write unless the store has the same content."""
         written = self.written
-        if written and written == self.make_entry(written.version):
+        if not written or written != self.make_entry(written.version):
+            self.version += 1
+        elif not self._lacks_departures():
             return
-        self.version += 1
         self.stored.clear()
         self.changed.set()
 
     async def wait_until_stored(self, limit_ms: float) -> bool:
-        """Return whether the current entry is stored within limit_ms."""
+        """Return whether entry and departures are stored within limit_ms."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_ms / MILLIS_PER_SECOND):
                 await self.stored.wait()
@@ -89,7 +117,10 @@
         self.changed.set()
 
     async def unregister(self) -> None:
-        """End the lease, so that peers need not wait for it to expire."""
+        """End the lease, so that peers need not wait for it to expire.
+
+        The departures stay: they bind the next process.
+        """
         self.is_closed = True
         if not self.lease or self.era != self.store.era:
             # In a new era the lease may be that of another node.
@@ -145,15 +176,40 @@
     async def _write(self) -> bool:
         version = self.version
         entry = self.make_entry(version)
-        key = entry_key(entry.node)
-        reply = await self.store.put(
-            key, _encoder.encode(entry), self.revision, self.lease
-        )
+        facts = self.departures.facts()
+        writes = [
+            StoreWrite(
+                entry_key(entry.node),
+                _encoder.encode(entry),
+                self.revision,
+                self.lease,
+            )
+        ]
+        if self._lacks_departures():
+            reply = await self.store.grant_lease(DEPARTURE_RETENTION_MS)
+            if reply.outcome is not StoreOutcome.done:
+                return False
+            # They change with the entry only, so its revision guards both.
+            writes.insert(
+                0,
+                StoreWrite(
+                    departures_key(entry.node),
+                    encode_departures(facts),
+                    None,
+                    reply.lease,
+                ),
+            )
+        reply = await self.store.put(*writes)
         if reply.outcome is StoreOutcome.done:
             self.revision = reply.revision
+            if len(writes) > 1:
+                self.stored_departures = frozenset(facts)
             self._record_write(entry)
             self.log.write(
-                'registered', version=version, state=entry.state.name
+                'registered',
+                version=version,
+                state=entry.state.name,
+                departures=len(self.stored_departures),
             )
             return True
         if reply.outcome is StoreOutcome.missing:
@@ -161,43 +217,72 @@
         elif reply.outcome is StoreOutcome.conflict:
             # The entry was written by an earlier process of this node, or it is
             # back from a copy of the store.
-            self.revision = max_revision(reply.items)
+            await self._read_back(entry)
             self.changed.set()
         elif reply.outcome is StoreOutcome.unknown:
-            await self._read_back(key, entry)
+            await self._read_back(entry)
         return False
 
-    async def _read_back(self, key: str, entry: MemberEntry) -> None:
-        """Read the stored entry after a write whose outcome is unknown."""
-        reply = await self.store.get(key)
-        if reply.outcome is StoreOutcome.missing:
-            self.revision = Revision(0)
-        elif reply.outcome is StoreOutcome.done:
-            item = reply.items[0]
-            self.revision = item.revision
-            if item.value == _encoder.encode(entry):
-                self._record_write(entry)
+    async def _read_back(self, entry: MemberEntry) -> None:
+        """Read what is stored after a write that another may have preceded."""
+        own = await self._read_own()
+        if own is None:
+            return
+        self._note_entry(own.entry)
+        self._note_departures(own.departures)
+        if self._is_intact(own.entry, entry):
+            self._record_write(entry)
 
-    async def _restore(self) -> bool:
-        """Read the entry that an earlier process of this node stored."""
+    async def _read_own(self) -> _OwnItems | None:
+        """Read the items of this node, None if the store has not told."""
         node = self.make_entry(0).node
-        reply = await self.store.get(entry_key(node))
-        if reply.outcome is StoreOutcome.missing:
-            self.is_restored = True
+        # One call reads both keys, and those of nodes with longer names.
+        reply = await self.store.list_items(entry_key(node), stale=False)
+        if reply.outcome is not StoreOutcome.done:
+            return None
+        by_key = {item.key: item for item in reply.items}
+        return _OwnItems(
+            by_key.get(entry_key(node)), by_key.get(departures_key(node))
+        )
+
+    def _note_entry(self, item: StoreItem | None) -> None:
+        self.revision = item.revision if item else Revision(0)
+
+    def _note_departures(self, item: StoreItem | None) -> None:
+        """Learn the departures in the store."""
+        self.stored_departures = frozenset()
+        if item is None:
+            return
+        facts = read_departures(item)
+        if facts is None:
+            self.log.write('departures_unreadable', key=item.key)
+            return
+        self.stored_departures = frozenset(facts)
+        self.departures.merge(facts, self.clock.now())
+
+    async def _restore(self) -> bool:
+        """Read what an earlier process of this node stored."""
+        own = await self._read_own()
+        if own is None:
+            return False
+        self.is_restored = True
+        self._note_entry(own.entry)
+        self._note_departures(own.departures)
+        if own.entry is None:
             self.on_restored(None)
-        elif reply.outcome is StoreOutcome.done:
-            self.is_restored = True
-            self.revision = reply.items[0].revision
-            entry = read_entry(reply.items[0])
-            if entry is not None:
-                # The lease of the earlier process serves this one as well.
-                self.lease = reply.lease
-                self.version = entry.version
-                self._record_write(entry)
-            self.on_restored(entry)
-            # The address may have changed with the process.
-            self.mark_changed()
-        return self.is_restored
+            if self._lacks_departures():
+                self.mark_changed()
+            return True
+        entry = read_entry(own.entry)
+        if entry is not None:
+            # The lease of the earlier process serves this one as well.
+            self.lease = own.entry.lease
+            self.version = entry.version
+            self._record_write(entry)
+        self.on_restored(entry)
+        # The address may have changed with the process.
+        self.mark_changed()
+        return True
 
     async def _check_entry(self) -> bool:
         """Read whether entry and lease are still there in a new era.
@@ -205,26 +290,39 @@
         Return False if the store has not told.
         """
         era = self.store.era
-        reply = await self.store.get(entry_key(self.make_entry(0).node))
-        if reply.outcome not in {StoreOutcome.done, StoreOutcome.missing}:
+        own = await self._read_own()
+        if own is None:
             return False
         self.era = era
-        revision = max_revision(reply.items)
-        is_intact = (
-            self.written is not None
-            and self.lease == reply.lease
-            and any(
-                item.value == _encoder.encode(self.written)
-                for item in reply.items
-            )
-        )
-        if not is_intact:
+        if not self._is_intact(own.entry, self.written):
             self._lose_lease('the store returned from an older copy')
-        self.revision = revision
+        self._note_entry(own.entry)
+        self._note_departures(own.departures)
+        if self._lacks_departures():
+            self.stored.clear()
         return True
 
+    def _is_intact(
+        self, item: StoreItem | None, entry: MemberEntry | None
+    ) -> bool:
+        """Return whether an item holds the entry under the present lease."""
+        return (
+            item is not None
+            and entry is not None
+            and item.lease == self.lease
+            and item.value == _encoder.encode(entry)
+        )
+
     def _is_written(self) -> bool:
-        return self.written is not None and self.written.version == self.version
+        return (
+            self.written is not None
+            and self.written.version == self.version
+            and not self._lacks_departures()
+        )
+
+    def _lacks_departures(self) -> bool:
+        """Return whether the store lacks a departure that this node knows."""
+        return not self.stored_departures.issuperset(self.departures.facts())
 
     def _record_write(self, entry: MemberEntry) -> None:
         self.written = entry
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -20,6 +20,7 @@
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import UpdateReply, UpdateRequest
 from jasmineramp.mesh.quotas import OwnerLookup
+from jasmineramp.mesh.store import StoreItem
 from jasmineramp.mesh.store_revisions import (
     era_of,
     make_revision,
@@ -103,7 +104,9 @@
             table.content if table.revision != table_known else b'',
             number_of(directory.revision),
             tuple(
-                replace(item, revision=Revision(number_of(item.revision)))
+                StoreItem(
+                    item.key, Revision(number_of(item.revision)), item.value
+                )
                 for item in items
             ),
             is_full,
--- a/src/jasmineramp/mesh/store.py
+++ b/src/jasmineramp/mesh/store.py
@@ -26,19 +26,34 @@
     unknown = 'unknown'
 
 
-class StoreItem(msgspec.Struct, frozen=True, gc=False):
+class StoreItem(msgspec.Struct, frozen=True, gc=False, omit_defaults=True):
     """Hold the value of a key; None means that it was deleted."""
 
     key: str
     revision: Revision
     value: bytes | None = None
+    lease: int = 0
+
+
+class StoreWrite(msgspec.Struct, frozen=True, gc=False):
+    """Hold a new value and the revision that the key must still have.
+
+    The expected revision is 0 for an absent key, None for any. The lease is 0
+    for none.
+    """
+
+    key: str
+    value: bytes
+    expected: Revision | None
+    lease: int
 
 
 class StoreReply(msgspec.Struct, frozen=True, gc=False):
     """Hold the reply to a call; `revision` is of the store or of the write.
 
     Revisions of a later era are greater than all before (store_revisions).
-    `lease` is the lease that was granted, or that of the item that was read.
+    `lease` is the lease that was granted, or that of the item that was read
+    by its key.
     """
 
     outcome: StoreOutcome
@@ -75,10 +90,11 @@
     ) -> StoreReply:
         """Return changes after a revision, waiting at most wait_ms for one."""
 
-    async def put(
-        self, key: str, value: bytes, expected: Revision, lease: int
-    ) -> StoreReply:
-        """Write a key if its revision is as expected, 0 for an absent key."""
+    async def put(self, *writes: StoreWrite) -> StoreReply:
+        """Write all keys if all their revisions are as expected.
+
+        The revision of the reply is that of the last write.
+        """
 
     async def delete(self, key: str, expected: Revision) -> StoreReply:
         """Delete a key if its revision is the expected one."""
--- a/src/jasmineramp/mesh/upstream_state.py
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -5,10 +5,8 @@
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, ServiceName
 from jasmineramp.membership_messages import UpstreamState
+from jasmineramp.mesh.departures import Departed, Departures
 
-# Departed instances are remembered for this time. An upstream that leaves still
-# serves for a time; no late announcement of it is expected afterwards.
-DEPARTED_RETENTION_MS = 60_000
 # Two consecutive announcements are missing after this time.
 SILENCE_MS = 3_500
 # Less than the interval between two announcements.
@@ -47,7 +45,7 @@
         self.current: Announcement | None = None
         self.state = UpstreamState.starting
         self.last_heard = Millis(0)
-        self.departed: dict[str, tuple[int, Millis]] = {}
+        self.departures = Departures()
         self.candidate: Announcement | None = None
         self.is_restored = False
 
@@ -58,13 +56,14 @@
         ignored: those of an instance that has left or of an earlier
         incarnation, and those that arrive out of order.
         """
+        if announcement.state is UpstreamState.draining:
+            self._add_departure(announcement, now)
+        elif self.departures.binds(announcement.instance, announcement.born):
+            return False
         if not self.is_restored and not self._check_confirmation(
             announcement, now
         ):
             return False
-        departed = self.departed.get(announcement.instance)
-        if departed is not None and announcement.born <= departed[0]:
-            return False
         current = self.current
         if current is not None and not self._check_successor(announcement, now):
             return False
@@ -74,8 +73,7 @@
         previous_state = self.state
         self.current = announcement
         self.last_heard = now
-        if not (is_same and previous_state is UpstreamState.draining):
-            self.state = announcement.state
+        self.state = announcement.state
         return (
             not is_same
             or self.state is not previous_state
@@ -89,9 +87,12 @@
         stored as ready has received no acknowledgement of a departure.
         """
         self.is_restored = True
-        if registered is not None and self.current is None:
-            self.current = registered
-            self.state = registered.state
+        if registered is not None:
+            if registered.state is UpstreamState.draining:
+                self._add_departure(registered, now)
+            if self.current is None:
+                self.current = registered
+                self.state = registered.state
         pending = self.candidate
         self.candidate = None
         if pending is not None:
@@ -135,18 +136,33 @@
     def depart(self, instance: str, born: int | None, now: Millis) -> bool:
         """Record that an instance leaves; return whether it was in use."""
         current = self.current
-        is_current = current is not None and current.instance == instance
-        if born is None:
-            born = current.born if is_current and current else 0
-        self.departed[instance] = (born, now)
-        for name, (_, since) in list(self.departed.items()):
-            if now - since > DEPARTED_RETENTION_MS:
-                del self.departed[name]
-        if not is_current or (current is not None and born < current.born):
+        if born is None and current is not None:
+            born = current.born if current.instance == instance else None
+        self.departures.add(
+            Departed(instance, 0 if born is None else born), now
+        )
+        return self.apply_departures()
+
+    def apply_departures(self) -> bool:
+        """Stop using an instance that has left; return whether it was in use.
+
+        Departures are also learned from the store and from other nodes.
+        """
+        current = self.current
+        if (
+            current is None
+            or self.state is UpstreamState.draining
+            or not self.departures.binds(current.instance, current.born)
+        ):
             return False
         self.state = UpstreamState.draining
         return True
 
+    def _add_departure(self, announcement: Announcement, now: Millis) -> None:
+        self.departures.add(
+            Departed(announcement.instance, announcement.born), now
+        )
+
     def mark_lost(self) -> bool:
         """Record that the instance refuses connections.
 
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -16,7 +16,12 @@
     STORE_REPLY_VALUES,
     MessageBuffer,
 )
-from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
+from jasmineramp.mesh.store import (
+    StoreItem,
+    StoreOutcome,
+    StoreReply,
+    StoreWrite,
+)
 from jasmineramp.mesh.store_revisions import era_of, number_of
 from jasmineramp.platform.store_replies import (
     Converter,
@@ -200,20 +205,29 @@
             return StoreReply(StoreOutcome.compacted, detail=_OTHER_ERA)
         return reply
 
-    async def put(
-        self, key: str, value: bytes, expected: Revision, lease: int
-    ) -> StoreReply:
-        """Write a key if its revision is as expected, 0 for an absent key."""
-        if expected and era_of(expected) < self.era:
+    async def put(self, *writes: StoreWrite) -> StoreReply:
+        """Write all keys if all their revisions are as expected.
+
+        The revision of the reply is that of the last write.
+        """
+        if any(
+            each.expected and era_of(each.expected) < self.era
+            for each in writes
+        ):
             return StoreReply(StoreOutcome.conflict, detail=_OTHER_ERA)
         body = {
-            'precondition': [{'key': key, 'revision': number_of(expected)}],
+            'precondition': [
+                {'key': each.key, 'revision': number_of(each.expected)}
+                for each in writes
+                if each.expected is not None
+            ],
             'puts': [
                 {
-                    'key': key,
-                    'value': base64.b64encode(value).decode(),
-                    'lease': lease,
+                    'key': each.key,
+                    'value': base64.b64encode(each.value).decode(),
+                    'lease': each.lease,
                 }
+                for each in writes
             ],
             'deletes': [],
         }
--- a/src/jasmineramp/platform/store_replies.py
+++ b/src/jasmineramp/platform/store_replies.py
@@ -33,6 +33,7 @@
     revision: int
     value: str = ''
     deleted: bool = False
+    lease: int = 0
 
 
 class _WireReply(msgspec.Struct, rename='camel'):
@@ -125,6 +126,7 @@
             None
             if wire.deleted
             else base64.b64decode(wire.value, validate=True),
+            wire.lease,
         )
         for wire in wire_items
     )
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -152,19 +152,42 @@
         upstream = FakeUpstream(f'i-{number}')
         settings = self._settings(number)
         await upstream.server.listen(*settings.upstream)
+        node = self._make_node(settings)
+        await node.start()
+        self.nodes.append(node)
+        self.upstreams.append(upstream)
+        await self.announce(number)
+
+    async def start_next_process(self, number: int) -> Node:
+        """Kill the process of a node and start the next one."""
+        killed = self.nodes[number]
+        killed.close()
+        await asyncio.sleep(0)
+        node = self.nodes[number] = self._make_node(killed.settings)
+        await node.start()
+        return node
+
+    def _make_node(self, settings: NodeSettings) -> Node:
         descriptor = os.open(os.devnull, os.O_WRONLY)
         self.stack.callback(os.close, descriptor)
-        node = Node(
+        return Node(
             settings,
             StoreClient(*settings.store),
             PlatformBinding(),
             DecisionLog(settings.node, descriptor),
             MonotonicClock(),
         )
-        await node.start()
-        self.nodes.append(node)
-        self.upstreams.append(upstream)
-        await self.announce(number)
+
+    async def deregister(self, number: int, **fields: object) -> int:
+        """Say that an upstream leaves; return the HTTP status."""
+        status, _, _ = await request(
+            self.nodes[number].settings.control,
+            'POST',
+            f'/instances/{self.upstreams[number].name}/deregister',
+            {},
+            json.dumps(fields).encode() if fields else b'',
+        )
+        return status
 
     async def announce(
         self, number: int, state: str = 'ready', **fields: object
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -10,6 +10,7 @@
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.departures import Departed, Departures
 from jasmineramp.mesh.directory import MemberEntry
 from jasmineramp.mesh.registration import (
     LEASE_TTL_MS,
@@ -63,7 +64,7 @@
         self.assertEqual(again.lease, first.lease)
         self.assertTrue(again.stored.is_set())
         self.assertEqual(
-            dict(again.store.counts), {('get', 'done'): 1, ('keep', 'done'): 1}
+            dict(again.store.counts), {('list', 'done'): 1, ('keep', 'done'): 1}
         )
 
     async def test_restart_writes_a_changed_entry(self) -> None:
@@ -131,6 +132,64 @@
                 UpstreamState.draining.value,
             )
 
+    def start_with(self, departures: Departures) -> Registration:
+        """Return the registration of a process that knows departures."""
+        registration = self.start()
+        registration.departures = departures
+        return registration
+
+    # Guards against departures that end with the entry.
+    async def test_departure_outlives_the_lease(self) -> None:
+        departures = Departures()
+        first = self.start_with(departures)
+        await self.run_steps(first, 2)
+        departures.add(Departed('i-1', 5), self.clock.now())
+        first.mark_changed()
+        self.assertFalse(first.stored.is_set())
+        await self.run_steps(first, 1)
+        self.assertTrue(first.stored.is_set())
+        await first.unregister()
+        again = self.start()
+        await self.run_steps(again, 1)
+        self.assertTrue(again.departures.binds('i-1', 5))
+
+    async def test_departure_is_stored_again_in_a_new_era(self) -> None:
+        departures = Departures()
+        registration = self.start_with(departures)
+        await self.run_steps(registration, 2)
+        backup = self.store.back_up()
+        departures.add(Departed('i-1', 5), self.clock.now())
+        registration.mark_changed()
+        await self.run_steps(registration, 1)
+        self.store.restore(backup)
+        await self.read_until_answered(registration)
+        await self.run_steps(registration, 2)
+        self.assertIn('jasmineramp/nodes/n0/departures', self.store.items)
+        self.assertTrue(registration.stored.is_set())
+
+    async def test_departure_is_merged_with_stored_ones(self) -> None:
+        """A departure may be known before the store answers."""
+        first = self.start_with(Departures())
+        first.departures.add(Departed('i-1', 5), self.clock.now())
+        await self.run_steps(first, 2)
+        again = self.start_with(Departures())
+        again.departures.add(Departed('i-2', 6), self.clock.now())
+        await self.run_steps(again, 2)
+        self.assertTrue(again.stored.is_set())
+        third = self.start()
+        await self.run_steps(third, 1)
+        self.assertEqual(len(third.departures.facts()), 2)
+
+    async def test_known_departures_are_not_written_again(self) -> None:
+        registration = self.start_with(Departures())
+        registration.departures.add(Departed('i-1', 5), self.clock.now())
+        await self.run_steps(registration, 2)
+        self.state = UpstreamState.draining
+        registration.mark_changed()
+        await self.run_steps(registration, 1)
+        self.assertEqual(registration.store.counts['txn', 'done'], 2)
+        self.assertEqual(registration.store.counts['lease', 'done'], 2)
+
     async def read_until_answered(self, registration: Registration) -> None:
         """Read any key as another part of the node does."""
         while True:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -8,7 +8,7 @@
 from bench.metadata_store import Backup, Fault, MetadataStore
 
 from jasmineramp.ids import Revision
-from jasmineramp.mesh.store import StoreOutcome, StoreReply
+from jasmineramp.mesh.store import StoreOutcome, StoreReply, StoreWrite
 from jasmineramp.mesh.store_revisions import era_of, number_of
 from jasmineramp.platform import store_client
 from jasmineramp.platform.store_client import ANSWER_TIMEOUT_S, StoreClient
@@ -32,9 +32,9 @@
         self.addCleanup(self.client.close)
 
     async def test_put_get_and_conflict(self) -> None:
-        first = await self.client.put('a/1', b'x', Revision(0), 0)
+        first = await self.client.put(StoreWrite('a/1', b'x', Revision(0), 0))
         self.assertIs(first.outcome, StoreOutcome.done)
-        again = await self.client.put('a/1', b'y', Revision(0), 0)
+        again = await self.client.put(StoreWrite('a/1', b'y', Revision(0), 0))
         self.assertIs(again.outcome, StoreOutcome.conflict)
         self.assertEqual(again.items[0].revision, first.revision)
         reply = await self.client.get('a/1')
@@ -71,7 +71,7 @@
     async def test_refused_write_is_not_done(self) -> None:
         """A write that a busy store refuses had no effect."""
         self.store.fault = Fault.busy
-        reply = await self.client.put('a/1', b'x', Revision(0), 0)
+        reply = await self.client.put(StoreWrite('a/1', b'x', Revision(0), 0))
         self.assertIs(reply.outcome, StoreOutcome.not_done)
 
     async def test_lost_answer_to_a_write_is_unknown(self) -> None:
@@ -81,7 +81,9 @@
         """
         self.store.fault = Fault.lost_writes
         with unittest.mock.patch.object(store_client, 'ANSWER_TIMEOUT_S', 0.05):
-            reply = await self.client.put('a/1', b'x', Revision(0), 0)
+            reply = await self.client.put(
+                StoreWrite('a/1', b'x', Revision(0), 0)
+            )
         self.assertIs(reply.outcome, StoreOutcome.unknown)
         self.store.fault = Fault.none
         stored = await self.client.get('a/1')
@@ -104,7 +106,7 @@
 
     async def put(self, value: bytes, expected: Revision) -> StoreReply:
         """Write one key without a lease."""
-        return await self.client.put('a/1', value, expected, 0)
+        return await self.client.put(StoreWrite('a/1', value, expected, 0))
 
     async def restore(self, backup: Backup) -> None:
         """Restore a copy; return when the client's connections have ended."""
@@ -235,7 +237,9 @@
                 client = StoreClient(HOST, await server.listen(), 100_000)
                 started = time.monotonic()
                 read = await client.get('k')
-                written = await client.put('k', b'v', Revision(0), 0)
+                written = await client.put(
+                    StoreWrite('k', b'v', Revision(0), 0)
+                )
                 self.assertLess(
                     time.monotonic() - started, 2 * ANSWER_TIMEOUT_S
                 )
