Acknowledge a departure only once it is stored itself

Cause: the node waited for the store only if the instance in use was draining. Before the first read of the entry there is none, so the acknowledgement went out with nothing stored, and the entry that was read later overwrote the state.

Change: a notice of leaving, by heartbeat or departure and of any instance, waits until the departures are stored. What is read is merged with what the process knows.

Tests, before the change: test_departure_is_not_undone_by_an_entry_that_is_read_later (200 != 503) and test_entry_that_is_read_later_does_not_undo_a_departure ("True is not false").

Conclusion: an acknowledgement tells that the departure outlives this process.

--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -65,14 +65,18 @@
         if announcement is None:
             return CallerResponse(HTTPStatus.NOT_FOUND, [])
         if isinstance(announcement, Departure):
+            is_leaving = True
             changed = self.record.depart(
                 announcement.instance, announcement.born, now
             )
         else:
+            is_leaving = announcement.state is UpstreamState.draining
             changed = self._announce(announcement, now)
         if changed:
             self._report_change()
-        if self.record.state is UpstreamState.draining:
+        elif is_leaving:
+            self.registration.mark_changed()
+        if is_leaving:
             # Stored before it is acknowledged, so that a restarted node does
             # not use the upstream either.
             stored = await self.registration.wait_until_stored(
--- a/src/jasmineramp/mesh/upstream_state.py
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -83,8 +83,7 @@
     def restore(self, registered: Announcement | None, now: Millis) -> None:
         """Restore what an earlier process of the node has registered.
 
-        A departure is stored before it is acknowledged, so an instance that is
-        stored as ready has received no acknowledgement of a departure.
+        The departures that are known by now are not undone by it.
         """
         self.is_restored = True
         if registered is not None:
@@ -93,6 +92,7 @@
             if self.current is None:
                 self.current = registered
                 self.state = registered.state
+        self.apply_departures()
         pending = self.candidate
         self.candidate = None
         if pending is not None:
--- a/tests/mesh/test_own_upstream.py
+++ b/tests/mesh/test_own_upstream.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from bench.metadata_store import Fault
+
+from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.directory import departures_key, entry_key
 from jasmineramp.mesh.node import Node
 from tests.fakes.mesh import Fleet
@@ -37,6 +40,20 @@
         await self.fleet.nodes[0].registration.unregister()
         await self.announce_late(await self.start_next_process())
 
+    # Guards against DRAIN: a process that could not read its entry acknowledged
+    # a departure, and the entry that it read later took the instance back.
+    async def test_departure_is_not_undone_by_an_entry_that_is_read_later(
+        self,
+    ) -> None:
+        self.store.fault = Fault.busy
+        node = await self.fleet.start_next_process(0)
+        self.assertEqual(await self.fleet.deregister(0, born=BORN), 503)
+        self.store.fault = Fault.none
+        await self.fleet.until(lambda: node.registration.is_restored)
+        self.assertIs(node.record.state, UpstreamState.draining)
+        self.assertEqual(await self.fleet.deregister(0, born=BORN), 200)
+        await self.announce_late(node)
+
     async def test_new_start_of_the_instance_is_used(self) -> None:
         self.assertEqual(await self.fleet.deregister(0, born=BORN), 200)
         node = await self.start_next_process()
--- a/tests/mesh/test_upstream_state.py
+++ b/tests/mesh/test_upstream_state.py
@@ -84,6 +84,13 @@
         self.assertFalse(self.record.depart('i-1', 100, NOW))
         self.assertTrue(self.record.is_ready())
 
+    # Guards against DRAIN: what is read from the store undid a departure.
+    def test_entry_that_is_read_later_does_not_undo_a_departure(self) -> None:
+        record = UpstreamRecord()
+        record.depart('i-1', 100, NOW)
+        record.restore(announcement(sequence=-1), NOW)
+        self.assertFalse(record.is_ready())
+
     def test_refused_connection_needs_a_new_announcement(self) -> None:
         self.record.announce(announcement(sequence=1), NOW)
         self.assertTrue(self.record.mark_lost())
