Bind all starts before a departure that names none

Cause: a departure without a start was noted with the start 0 where the process had not heard of the instance, so that a late heartbeat counted as that of a later incarnation.

Change: an unknown start is bounded by the time of day at which the notice comes. Instance and node run on one VM and have one clock; a later incarnation starts after it.

Conclusion: no heartbeat sent before a departure brings its instance back.

--- a/src/jasmineramp/clock.py
+++ b/src/jasmineramp/clock.py
@@ -41,6 +41,11 @@
         return self.current
 
 
+def read_unix_ms() -> int:
+    """Return the time of day; it may be set back or differ between VMs."""
+    return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+
+
 def later(start: Millis, duration: float) -> Millis:
     """Return the time that is a duration in milliseconds after a start."""
     return Millis(start + duration)
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from jasmineramp import routing
-from jasmineramp.clock import Clock, Millis
+from jasmineramp.clock import Clock, Millis, read_unix_ms
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
@@ -67,7 +67,10 @@
         if isinstance(announcement, Departure):
             is_leaving = True
             changed = self.record.depart(
-                announcement.instance, announcement.born, now
+                announcement.instance,
+                announcement.born,
+                now,
+                unix_now=read_unix_ms(),
             )
         else:
             is_leaving = announcement.state is UpstreamState.draining
--- a/src/jasmineramp/mesh/upstream_state.py
+++ b/src/jasmineramp/mesh/upstream_state.py
@@ -32,7 +32,10 @@
 
 
 class Departure(msgspec.Struct, frozen=True):
-    """Hold the notice that an instance leaves; `born` may be unknown."""
+    """Hold the notice that an instance leaves; `born` may be unknown.
+
+    An unknown start was before the notice.
+    """
 
     instance: str
     born: int | None
@@ -133,13 +136,19 @@
             and now - self.last_heard > SILENCE_MS
         )
 
-    def depart(self, instance: str, born: int | None, now: Millis) -> bool:
-        """Record that an instance leaves; return whether it was in use."""
+    def depart(
+        self, instance: str, born: int | None, now: Millis, *, unix_now: int
+    ) -> bool:
+        """Record that an instance leaves; return whether it was in use.
+
+        `unix_now` is the time of day in ms. It bounds a start that is unknown,
+        because the instance runs on this VM.
+        """
         current = self.current
         if born is None and current is not None:
             born = current.born if current.instance == instance else None
         self.departures.add(
-            Departed(instance, 0 if born is None else born), now
+            Departed(instance, unix_now if born is None else born), now
         )
         return self.apply_departures()
 
--- a/tests/mesh/test_own_upstream.py
+++ b/tests/mesh/test_own_upstream.py
@@ -40,6 +40,18 @@
         await self.fleet.nodes[0].registration.unregister()
         await self.announce_late(await self.start_next_process())
 
+    # Guards against DRAIN: a departure without a start was noted with the start
+    # 0, and a late heartbeat passed for a later incarnation.
+    async def test_departure_without_a_start_binds_an_unheard_instance(
+        self,
+    ) -> None:
+        await self.fleet.nodes[0].registration.unregister()
+        node = await self.start_next_process()
+        self.assertEqual(await self.fleet.deregister(0), 200)
+        await self.announce_late(node)
+        await self.fleet.nodes[0].registration.unregister()
+        await self.announce_late(await self.start_next_process())
+
     # Guards against DRAIN: a process that could not read its entry acknowledged
     # a departure, and the entry that it read later took the instance back.
     async def test_departure_is_not_undone_by_an_entry_that_is_read_later(
--- a/tests/mesh/test_upstream_state.py
+++ b/tests/mesh/test_upstream_state.py
@@ -57,13 +57,13 @@
 
     def test_late_announcement_after_the_departure_is_ignored(self) -> None:
         self.record.announce(announcement(), NOW)
-        self.assertTrue(self.record.depart('i-1', None, NOW))
+        self.assertTrue(self.record.depart('i-1', None, NOW, unix_now=150))
         self.assertFalse(self.record.announce(announcement(sequence=9), NOW))
         self.assertFalse(self.record.is_ready())
 
     def test_restart_under_the_same_id_is_a_new_incarnation(self) -> None:
         self.record.announce(announcement(sequence=50), NOW)
-        self.record.depart('i-1', None, NOW)
+        self.record.depart('i-1', None, NOW, unix_now=150)
         self.assertTrue(self.record.announce(announcement(born=200), NOW))
         self.assertTrue(self.record.is_ready())
 
@@ -76,21 +76,29 @@
 
     def test_departure_of_another_instance_changes_nothing(self) -> None:
         self.record.announce(announcement('i-2', born=200), NOW)
-        self.assertFalse(self.record.depart('i-1', None, NOW))
+        self.assertFalse(self.record.depart('i-1', None, NOW, unix_now=150))
         self.assertTrue(self.record.is_ready())
 
     def test_late_departure_of_an_earlier_incarnation_is_ignored(self) -> None:
         self.record.announce(announcement(born=200), NOW)
-        self.assertFalse(self.record.depart('i-1', 100, NOW))
+        self.assertFalse(self.record.depart('i-1', 100, NOW, unix_now=150))
         self.assertTrue(self.record.is_ready())
 
     # Guards against DRAIN: what is read from the store undid a departure.
     def test_entry_that_is_read_later_does_not_undo_a_departure(self) -> None:
         record = UpstreamRecord()
-        record.depart('i-1', 100, NOW)
+        record.depart('i-1', 100, NOW, unix_now=150)
         record.restore(announcement(sequence=-1), NOW)
         self.assertFalse(record.is_ready())
 
+    # Guards against DRAIN: the late heartbeat of an instance whose departure
+    # named no start counted as that of a later incarnation.
+    def test_departure_without_a_start_binds_starts_before_it(self) -> None:
+        self.record.depart('i-1', None, NOW, unix_now=150)
+        self.assertFalse(self.record.announce(announcement(born=100), NOW))
+        self.assertTrue(self.record.announce(announcement(born=200), NOW))
+        self.assertTrue(self.record.is_ready())
+
     def test_refused_connection_needs_a_new_announcement(self) -> None:
         self.record.announce(announcement(sequence=1), NOW)
         self.assertTrue(self.record.mark_lost())
