Remember departures at the peers and tell them to the next process

Cause: a departure was the state of an entry, and entries of a later era replaced those before. Peers take version 1, ready, after version 2, draining, and the next process of the node restores the instance from the same copy.

Change: a node remembers each departure that it was ever told, also from entries, and treats the instance as draining whatever a later entry says. The first frame of a connection tells the peer the departures that are known of its instances; it stands behind the known fields, so that the release before reads the frame.

Tests, before the change: test_departure_is_not_undone_by_a_later_entry (ready is not draining) and test_next_process_learns_a_departure_from_its_peers (timeout). For the question what else survives a stop and an unread state: test_withdrawn_key_is_refused_by_the_next_process, which passes before the change too.

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -109,6 +109,7 @@
             address,
             self._on_peer_state,
             self._on_peer_change,
+            departed_at=self.directory.departed_at,
         )
 
     def _retire_link(self, node: NodeId) -> int:
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -35,6 +35,7 @@
 from jasmineramp.mesh.own_upstream import LocalUpstream
 from jasmineramp.mesh.peer_links import PeerSession
 from jasmineramp.mesh.peer_messages import (
+    Hello,
     QuotaRequest,
     RunReply,
     RunRequest,
@@ -254,9 +255,9 @@
         self.gate.pool.close()
         self.log.flush()
 
-    def greet_peer(self, session: PeerSession) -> None:
-        """Tell a peer that has just connected if calls are refused."""
-        self.local_upstream.greet_peer(session)
+    def greet_peer(self, session: PeerSession, frame: Hello) -> None:
+        """Exchange what a peer that has just connected may not know yet."""
+        self.local_upstream.greet_peer(session, frame.departed)
 
     def run_for_peer(self, session: PeerSession, frame: RunRequest) -> None:
         """Run a call received from a peer at the upstream of this VM."""
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -8,6 +8,7 @@
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.directory import MemberEntry
 from jasmineramp.mesh.instance_gate import InstanceGate
 from jasmineramp.mesh.node_settings import NodeSettings
@@ -94,8 +95,19 @@
         for session in self.sessions:
             session.write(self._state_frame(state))
 
-    def greet_peer(self, session: PeerSession) -> None:
-        """Tell a new peer if calls are refused; it missed the notice."""
+    def greet_peer(
+        self, session: PeerSession, departed: tuple[Departed, ...]
+    ) -> None:
+        """Learn the departures that a new peer knows, and tell it the state.
+
+        The peer may know of a departure that the store has lost.
+        """
+        if self.record.departures.merge(departed, self.clock.now()):
+            self.log.write('departures_learned', count=len(departed))
+            if self.record.apply_departures():
+                self._report_change()
+            else:
+                self.registration.mark_changed()
         if not self.gate.accepts_calls():
             session.write(self._state_frame(UpstreamState.draining))
 
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jasmineramp.ids import NodeId
+from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -47,8 +48,8 @@
 class PeerRequestHandler(Protocol):
     """Handle the requests that peers send to this node."""
 
-    def greet_peer(self, session: 'PeerSession') -> None:
-        """Tell a peer that has just connected what it may not know yet."""
+    def greet_peer(self, session: 'PeerSession', frame: Hello) -> None:
+        """Exchange what a peer that has just connected may not know yet."""
 
     def run_for_peer(self, session: 'PeerSession', frame: RunRequest) -> None:
         """Run a call at the upstream of this VM."""
@@ -128,7 +129,7 @@
                 # The peer marks this node unreachable and calls other nodes.
                 self.transport.abort()
             case Hello():
-                self.handler.greet_peer(self)
+                self.handler.greet_peer(self, frame)
             case RunRequest():
                 self.handler.run_for_peer(self, frame)
             case Cancel():
@@ -163,6 +164,11 @@
                 self.link.on_state(frame)
 
 
+def _know_none(_peer: NodeId) -> tuple[Departed, ...]:
+    """Know of no departure."""
+    return ()
+
+
 class PeerLink:
     """Maintain the outgoing connection to one peer and match its replies."""
 
@@ -173,12 +179,15 @@
         address: tuple[str, int],
         on_state: Callable[[StateChanged], None],
         on_change: Callable[[NodeId, str], None],
+        *,
+        departed_at: Callable[[NodeId], tuple[Departed, ...]] = _know_none,
     ) -> None:
         self.local_node = local_node
         self.peer = peer
         self.address = address
         self.on_state = on_state
         self.on_change = on_change
+        self.departed_at = departed_at
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
         # One for each request that waits for the connection.
@@ -330,7 +339,11 @@
         self.connection = connection
         if had_failed:
             self.on_change(self.peer, 'reconnected')
-        connection.write(Hello(self.local_node, PROTOCOL_VERSION))
+        connection.write(
+            Hello(
+                self.local_node, PROTOCOL_VERSION, self.departed_at(self.peer)
+            )
+        )
 
 
 def _ignore_change(_peer: NodeId, _reason: str) -> None:
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -6,6 +6,7 @@
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
+from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.receive_limits import MAX_BODY_BYTES, MEBIBYTE
 from jasmineramp.mesh.store import StoreItem
 
@@ -20,10 +21,14 @@
 
 
 class Hello(Frame, tag=1):
-    """Identify the sender and its protocol version on a new connection."""
+    """Identify the sender and its protocol version on a new connection.
+
+    `departed` are the departures at the receiver that the sender knows of.
+    """
 
     node: NodeId
     version: int
+    departed: tuple[Departed, ...] = ()
 
 
 class RunRequest(Frame, tag=2):
--- a/tests/mesh/test_directory.py
+++ b/tests/mesh/test_directory.py
@@ -5,16 +5,24 @@
 import msgspec
 
 from jasmineramp.clock import Millis
-from jasmineramp.ids import DomainId, NodeId, Revision
+from jasmineramp.ids import DomainId, NodeId, Revision, ServiceName
+from jasmineramp.membership_messages import UpstreamState
+from jasmineramp.mesh.departures import (
+    DEPARTURE_RETENTION_MS,
+    Departed,
+    encode_departures,
+)
 from jasmineramp.mesh.directory import (
     ABSENCE_GRACE_MS,
     Directory,
     MemberEntry,
+    departures_key,
     entry_key,
 )
 from jasmineramp.mesh.store import StoreItem
 
 START = Millis(0)
+BORN = 100
 
 
 def item(name: str, revision: int, version: int = 1) -> StoreItem:
@@ -25,6 +33,25 @@
     )
 
 
+def instance_item(revision: int, state: UpstreamState) -> StoreItem:
+    """Return the store item of an entry with an instance."""
+    entry = MemberEntry(
+        NodeId('n1'),
+        revision,
+        DomainId('a'),
+        '10.0.0.1',
+        7000,
+        ServiceName('orders'),
+        'i-1',
+        BORN,
+        8,
+        state,
+    )
+    return StoreItem(
+        entry_key(entry.node), Revision(revision), msgspec.json.encode(entry)
+    )
+
+
 class DirectoryTest(unittest.TestCase):
     """Entries are ordered by store revision and removed after a grace time."""
 
@@ -57,6 +84,39 @@
         self.assertEqual([each.node for each in expired], ['n1'])
         self.assertFalse(self.directory.members)
 
+    # Guards against DRAIN: an entry from an older copy of the store replaced
+    # the one with the departure.
+    def test_departure_is_not_undone_by_a_later_entry(self) -> None:
+        for revision, state, expected in (
+            (6, UpstreamState.ready, UpstreamState.ready),
+            (7, UpstreamState.draining, UpstreamState.draining),
+            (1 << 40, UpstreamState.ready, UpstreamState.draining),
+        ):
+            (entry,) = self.directory.apply(
+                (instance_item(revision, state),), START
+            )
+            self.assertIs(entry.state, expected)
+
+    def test_stored_departure_applies_to_the_entry(self) -> None:
+        self.directory.apply((instance_item(6, UpstreamState.ready),), START)
+        departed = Departed('i-1', BORN)
+        stored = StoreItem(
+            departures_key(NodeId('n1')),
+            Revision(7),
+            encode_departures((departed,)),
+        )
+        (entry,) = self.directory.apply((stored,), START)
+        self.assertIs(entry.state, UpstreamState.draining)
+        self.assertEqual(self.directory.departed_at(NodeId('n1')), (departed,))
+        self.assertEqual(self.directory.departed_at(NodeId('n2')), ())
+        self.directory.expire(Millis(DEPARTURE_RETENTION_MS + 1))
+        self.assertEqual(self.directory.departed_at(NodeId('n1')), ())
+
+    def test_unreadable_departures_change_nothing(self) -> None:
+        odd = StoreItem(departures_key(NodeId('n1')), Revision(7), b'{}')
+        self.assertEqual(self.directory.apply((odd,), START), [])
+        self.assertEqual(self.directory.unreadable, {odd.key})
+
     def test_unreadable_entry_adds_no_node(self) -> None:
         for value in (b'', b'{}', b'\xff', b'{"node": 7}'):
             odd = StoreItem(entry_key(NodeId('n2')), Revision(9), value)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -241,7 +241,8 @@
             self.assertEqual(await self.fleet.announce(0, **fields), 400)
         self.assertTrue(self.fleet.nodes[0].record.is_ready())
 
-    async def test_withdrawn_key_is_refused(self) -> None:
+    async def withdraw_key(self) -> None:
+        """Withdraw the key of the callers everywhere."""
         configuration = copy.deepcopy(CONFIGURATION)
         configuration['tenants']['shop']['apiKeys'] = ['new']  # type: ignore
         self.fleet.configure(configuration)
@@ -255,10 +256,28 @@
             )
 
         await self.fleet.until(is_in_force)
+
+    async def test_withdrawn_key_is_refused(self) -> None:
+        await self.withdraw_key()
         status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
         self.assertEqual(status, 401)
         self.assertEqual(self.count_runs('id-1'), 0)
 
+    # Guards against a key or a table that a planned stop, or a process that has
+    # not read the table, brings back.
+    async def test_withdrawn_key_is_refused_by_the_next_process(self) -> None:
+        await self.withdraw_key()
+        await self.fleet.nodes[0].registration.unregister()
+        self.fleet.store.fault = Fault.silent
+        node = await self.fleet.start_next_process(0)
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual(status, 503)
+        self.fleet.store.fault = Fault.none
+        await self.fleet.until(lambda: node.admission.table is not None)
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-2')
+        self.assertEqual(status, 401)
+        self.assertEqual(self.count_runs('id-1') + self.count_runs('id-2'), 0)
+
     async def test_response_of_another_call_is_not_delivered(self) -> None:
         async def answer_another_call(
             _request: CallerRequest,
--- a/tests/mesh/test_own_upstream.py
+++ b/tests/mesh/test_own_upstream.py
@@ -66,6 +66,32 @@
         self.assertEqual(await self.fleet.deregister(0, born=BORN), 200)
         await self.announce_late(node)
 
+    # Guards against DRAIN: the store returned from an older copy, and the next
+    # process of the node took the instance back from it.
+    async def test_next_process_learns_a_departure_from_its_peers(
+        self,
+    ) -> None:
+        backup = self.store.back_up()
+        self.assertEqual(await self.fleet.deregister(0, born=BORN), 200)
+        killed, peer = self.fleet.nodes
+        name = killed.settings.node
+        draining = UpstreamState.draining
+        await self.fleet.until(
+            lambda: peer.fleet.directory.members[name].state is draining
+        )
+        self.assertTrue(await peer.entry.links[name].wait_until_up())
+        killed.close()
+        self.store.restore(backup)
+        node = await self.start_next_process()
+        self.assertIs(node.record.state, UpstreamState.ready)
+        await self.fleet.until(lambda: node.record.state is draining)
+        await self.fleet.until(lambda: departures_key(name) in self.store.items)
+        await self.announce_late(node)
+        for each in self.fleet.nodes:
+            await self.fleet.until(
+                lambda known=each: not known.routes.targets[name].is_ready()
+            )
+
     async def test_new_start_of_the_instance_is_used(self) -> None:
         self.assertEqual(await self.fleet.deregister(0, born=BORN), 200)
         node = await self.start_next_process()
