Decode foreign bytes into usable values or one kind of error

Operators of systems like ours saw: machines that ended again and again, or stopped following the entries, because another writer had left an odd one (LOST).

Cause: the decoder raises RecursionError for deep nesting, which no reader expected, and takes numbers that can't be encoded, connected to or ordered. Evidence on: with three odd entries a joining node is never seen by the others (timeout); the watch of the entries fails, is started again after 1 s and fails again. A nested heartbeat gets no answer.

Change: decoding.py, with a decoder whose every failure is a MsgspecError and types with ranges. Entries, departures, heartbeats, tables, frames, store replies, eras and the readers of jasmineramp-node and the commands use it. One damaged value in a list does not hide the others; a long Keep-Alive number is no malformed response.

Conclusion: what decodes is usable, and what doesn't is skipped with a log line.

--- a/src/jasmineramp/acknowledgements.py
+++ b/src/jasmineramp/acknowledgements.py
@@ -11,6 +11,7 @@
     DomainAcknowledgement,
     acknowledgement_key,
 )
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.effects import Effect
 from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.store_messages import (
@@ -36,6 +37,8 @@
 _START = Millis(0)
 _NO_REVISION = Revision(0)
 
+_domains_decoder = ForeignDecoder(msgspec.json.Decoder(tuple[DomainId, ...]))
+
 
 class KeyWriter:
     """Keep one platform key equal to a target value with few writes."""
@@ -222,7 +225,7 @@
 def decode_domains(body: bytes) -> tuple[DomainId, ...]:
     """Return the failure domains in a platform value, or () if damaged."""
     try:
-        return msgspec.json.decode(body, type=tuple[DomainId, ...])
+        return _domains_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return ()
 
--- a/src/jasmineramp/claim_log.py
+++ b/src/jasmineramp/claim_log.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jasmineramp.claim_messages import ClaimResult
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.ids import IdempotencyKey, NodeId, PartitionId, WorkspaceId
 
 _KEY_BYTES = 8
@@ -69,9 +70,9 @@
 
 
 encode = msgspec.msgpack.Encoder().encode
-decode_record = msgspec.msgpack.Decoder(LogRecord).decode
-decode_head = msgspec.msgpack.Decoder(Head).decode
-decode_owner = msgspec.msgpack.Decoder(OwnerEntry).decode
+decode_record = ForeignDecoder(msgspec.msgpack.Decoder(LogRecord)).decode
+decode_head = ForeignDecoder(msgspec.msgpack.Decoder(Head)).decode
+decode_owner = ForeignDecoder(msgspec.msgpack.Decoder(OwnerEntry)).decode
 
 
 def owner_key(partition: PartitionId) -> str:
--- a/src/jasmineramp/gateway.py
+++ b/src/jasmineramp/gateway.py
@@ -19,6 +19,7 @@
 from jasmineramp.claim_log import digest_body
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.credentials import find_key, strip_headers, strip_query
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.http_messages import Header, HttpRequest, HttpResponse
 from jasmineramp.ids import (
     CallId,
@@ -61,6 +62,9 @@
     state: Literal['starting', 'ready', 'draining'] = 'ready'
 
 
+_announcement_decoder = ForeignDecoder(msgspec.json.Decoder(Announcement))
+
+
 class RefusalTask(ErrorTask):  # type: ignore[misc]
     """Answer a request that cannot be parsed with a typed refusal."""
 
@@ -235,9 +239,8 @@
             start_response('403 Forbidden', [('Content-Length', '0')])
             return []
         try:
-            announcement = msgspec.json.decode(
-                environ['wsgi.input'].read(),
-                type=Announcement,
+            announcement = _announcement_decoder.decode(
+                environ['wsgi.input'].read()
             )
         except msgspec.MsgspecError as error:
             return _send_json(
--- a/src/jasmineramp/load_reports.py
+++ b/src/jasmineramp/load_reports.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from jasmineramp.decoding import Count, Rate
+
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """Carry the load that an instance node reports with a response.
@@ -11,7 +13,7 @@
     use, 0 if unknown. An instance that is not healthy counts as full.
     """
 
-    queued: int = 0
-    capacity: float = 0
-    shed_level: int = 0
+    queued: Count = 0
+    capacity: Rate = 0
+    shed_level: Count = 0
     healthy: bool = True
--- a/src/jasmineramp/log_story.py
+++ b/src/jasmineramp/log_story.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from jasmineramp.decoding import ForeignDecoder
+
 # Context events are included from this long before the first request line.
 CONTEXT_SECONDS = 5.0
 # What a node lost or regained, and which table it held; these explain its
@@ -29,6 +31,8 @@
 )
 _COMMON_FIELDS = frozenset(('time', 'node', 'event', 'request'))
 
+_decoder: ForeignDecoder[Any] = ForeignDecoder(msgspec.json.Decoder())
+
 
 class LogLine(msgspec.Struct, frozen=True):
     """Hold one line of a node's log; the time is Unix time in seconds."""
@@ -105,7 +109,7 @@
 def _read_line(text: str) -> LogLine | None:
     content = text[max(0, text.find('{')) :]
     try:
-        document = msgspec.json.decode(content)
+        document = _decoder.decode(content.encode(errors='replace'))
         line = msgspec.convert(document, LogLine)
     except msgspec.MsgspecError:
         return None
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -1,13 +1,16 @@
 """Define calls between nodes and their results."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
 from jasmineramp.admission import MAX_QUEUE_WAIT_MS
 from jasmineramp.clock import Millis
+from jasmineramp.decoding import Count, DurationMs
 from jasmineramp.ids import RowName, ServiceName, WorkspaceId
 from jasmineramp.refusals import RefusalCode, RunState
+from jasmineramp.table import LEAST_IMPORTANCE, MOST_IMPORTANCE
 
 Headers = list[tuple[bytes, bytes]]
 MIN_SERVER_ERROR = 500
@@ -52,16 +55,18 @@
     target: bytes
     headers: Headers
     body: bytes
-    remaining_ms: float
+    remaining_ms: DurationMs
     row: RowName
     workspace: WorkspaceId
     caller_service: ServiceName
     service: ServiceName
     instance: str
-    importance: int
-    hop: int
+    importance: Annotated[
+        int, msgspec.Meta(ge=LEAST_IMPORTANCE, le=MOST_IMPORTANCE)
+    ]
+    hop: Count
     is_idempotent: bool
-    max_wait_ms: float = MAX_QUEUE_WAIT_MS
+    max_wait_ms: DurationMs = MAX_QUEUE_WAIT_MS
     is_resent: bool = False
     is_repeat: bool = False
 
@@ -69,7 +74,7 @@
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
     """Hold the complete response of an upstream."""
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=100, le=999)]
     reason: bytes
     headers: Headers
     body: bytes
@@ -95,7 +100,7 @@
     column: str = ''
     figure: float | None = None
     limit: float | None = None
-    retry_after_ms: float | None = None
+    retry_after_ms: DurationMs | None = None
     may_have_arrived: bool = False
     is_for_all: bool = False
 
--- a/src/jasmineramp/mesh/departures.py
+++ b/src/jasmineramp/mesh/departures.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from jasmineramp.clock import Millis
+from jasmineramp.decoding import Count, ForeignDecoder
 
 # An instance that leaves serves for some tens of seconds; no announcement of it
 # arrives later than this.
@@ -24,10 +25,10 @@
     """
 
     instance: str
-    born: int
+    born: Count
 
 
-_decoder = msgspec.json.Decoder(tuple[Departed, ...])
+_decoder = ForeignDecoder(msgspec.json.Decoder(tuple[Departed, ...]))
 _encoder = msgspec.json.Encoder()
 
 
--- a/src/jasmineramp/mesh/directory.py
+++ b/src/jasmineramp/mesh/directory.py
@@ -1,8 +1,11 @@
 """Hold the nodes of the fleet and their upstreams as the store lists them."""
 
+import ipaddress
+
 import msgspec
 
 from jasmineramp.clock import Millis
+from jasmineramp.decoding import Count, ForeignDecoder, Port, Slots
 from jasmineramp.ids import DomainId, NodeId, Revision, ServiceName
 from jasmineramp.membership_messages import Instance, Upstream, UpstreamState
 from jasmineramp.mesh.departures import (
@@ -26,14 +29,14 @@
     """
 
     node: NodeId
-    version: int
+    version: Count
     domain: DomainId
     host: str
-    port: int
+    port: Port
     service: ServiceName = ServiceName('')
     instance: str = ''
-    born: int = 0
-    slots: int = 0
+    born: Count = 0
+    slots: Slots = 0
     state: UpstreamState = UpstreamState.starting
 
     def to_instance(self) -> Instance:
@@ -46,7 +49,7 @@
         )
 
 
-_decoder = msgspec.json.Decoder(MemberEntry)
+_decoder = ForeignDecoder(msgspec.json.Decoder(MemberEntry))
 
 
 class Directory:
@@ -172,7 +175,8 @@
     """Return the entry in an item, None if it is not a node's entry."""
     try:
         entry = _decoder.decode(item.value or b'')
-    except msgspec.MsgspecError:
+        ipaddress.ip_address(entry.host)
+    except ValueError:
         return None
     return entry if entry.node == _node_of(item.key) else None
 
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -1,7 +1,10 @@
 """Define the frames exchanged between two nodes and their encoding."""
 
+from typing import Annotated
+
 import msgspec
 
+from jasmineramp.decoding import Count, DurationMs, ForeignDecoder
 from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
@@ -9,6 +12,7 @@
 from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.receive_limits import MAX_BODY_BYTES, MEBIBYTE
 from jasmineramp.mesh.store import StoreItem
+from jasmineramp.mesh.store_revisions import Era, RevisionNumber
 
 PROTOCOL_VERSION = 1
 LENGTH_PREFIX_BYTES = 4
@@ -34,7 +38,7 @@
 class RunRequest(Frame, tag=2):
     """Ask the node on the VM of an upstream to run a call there."""
 
-    stream: int
+    stream: Count
     call: UpstreamCall
 
 
@@ -45,7 +49,7 @@
     `has_room` that it has free slots and so have the services that it calls.
     """
 
-    stream: int
+    stream: Count
     result: Answer | Failure
     load: LoadReport
     is_starved: bool = False
@@ -55,7 +59,7 @@
 class Cancel(Frame, tag=4):
     """Cancel a call that the requesting node no longer waits for."""
 
-    stream: int
+    stream: Count
 
 
 class Ping(Frame, tag=5):
@@ -69,15 +73,15 @@
 class QuotaRequest(Frame, tag=7):
     """Ask the owner of a workspace's token bucket for one token."""
 
-    stream: int
+    stream: Count
     workspace: WorkspaceId
 
 
 class QuotaReply(Frame, tag=8):
     """Answer with 0 or the wait in ms; None if the node may not grant."""
 
-    stream: int
-    wait_ms: float | None
+    stream: Count
+    wait_ms: DurationMs | None
 
 
 class StateChanged(Frame, tag=9):
@@ -94,11 +98,11 @@
     Revisions travel as the numbers of the store, with their eras apart.
     """
 
-    stream: int
-    table_revision: int
-    directory_revision: int
-    table_era: int = 0
-    directory_era: int = 0
+    stream: Count
+    table_revision: RevisionNumber
+    directory_revision: RevisionNumber
+    table_era: Era = 0
+    directory_era: Era = 0
 
 
 class UpdateReply(Frame, tag=11):
@@ -110,15 +114,16 @@
     revisions are numbers of `directory_era`.
     """
 
-    stream: int
-    table_revision: int
-    table_age_ms: float
+    stream: Count
+    table_revision: RevisionNumber
+    # Infinite if the sender has no table.
+    table_age_ms: Annotated[float, msgspec.Meta(ge=0)]
     table: bytes
-    directory_revision: int
+    directory_revision: RevisionNumber
     items: tuple[StoreItem, ...]
     is_full: bool
-    table_era: int = 0
-    directory_era: int = 0
+    table_era: Era = 0
+    directory_era: Era = 0
 
 
 PeerFrame = (
@@ -136,8 +141,8 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder: 'msgspec.msgpack.Decoder[PeerFrame]' = msgspec.msgpack.Decoder(
-    PeerFrame
+_decoder: ForeignDecoder[PeerFrame] = ForeignDecoder(
+    msgspec.msgpack.Decoder(PeerFrame)
 )
 
 
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -363,5 +363,6 @@
     for part in value.split(b','):
         name, _, text = part.strip().partition(b'=')
         if name.lower() == b'timeout' and text.strip().isdigit():
-            return int(text) * MILLIS_PER_SECOND / 2
+            # As a float, because a long number is no error.
+            return float(text) * MILLIS_PER_SECOND / 2
     return MAX_IDLE_MS
--- a/src/jasmineramp/operator_client.py
+++ b/src/jasmineramp/operator_client.py
@@ -7,11 +7,14 @@
 import msgspec
 import urllib3
 
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.exceptions import JasminerampError, UnreachableError
 
 TIMEOUT_SECONDS = 5.0
 _STATUS_OK = 200
 
+_decoder: ForeignDecoder[Any] = ForeignDecoder(msgspec.json.Decoder())
+
 
 class NodeAnswer(NamedTuple):
     """Hold the answer of a node, or why there is none."""
@@ -58,7 +61,7 @@
             timeout=TIMEOUT_SECONDS,
             retries=False,
         )
-        document = msgspec.json.decode(response.data)
+        document = _decoder.decode(response.data)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise UnreachableError(address, type(error).__name__) from None
     except (msgspec.DecodeError, UnicodeDecodeError):
--- a/src/jasmineramp/operator_http.py
+++ b/src/jasmineramp/operator_http.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.exceptions import JasminerampError
 from jasmineramp.refusal_counts import RefusalQuery, RefusalSummary
 from jasmineramp.timeline import EventPage, EventQuery
@@ -38,6 +39,9 @@
     level: str
 
 
+_log_level_decoder = ForeignDecoder(msgspec.json.Decoder(LogLevel))
+
+
 class OperatorView(Protocol):
     """Provide the data of a node; called from the threads of the server."""
 
@@ -138,7 +142,7 @@
 
     def _log_level(self, environ: _Environ) -> LogLevel:
         try:
-            log_level = msgspec.json.decode(_read_body(environ), type=LogLevel)
+            log_level = _log_level_decoder.decode(_read_body(environ))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise _malformed(f'the body is not a log level: {error}') from None
         if log_level.level not in LOG_LEVELS:
--- a/src/jasmineramp/platform/announcements.py
+++ b/src/jasmineramp/platform/announcements.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from jasmineramp.decoding import Count, ForeignDecoder, Slots
 from jasmineramp.ids import DomainId, ServiceName
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.upstream_state import Announcement
@@ -21,13 +22,13 @@
     service: str
     # The failure domain.
     zone: str
-    slots: int
+    slots: Slots
     version: str = ''
 
 
 class _WireStatus(msgspec.Struct, rename='camel'):
     state: str
-    sequence: int
+    sequence: Count
     # Remaining warm-up time.
     cold_remaining: str = '0ms'
 
@@ -37,15 +38,17 @@
     info: _WireInfo
     status: _WireStatus
     # Start of this process of the instance, in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class _WireDeregistration(msgspec.Struct):
-    born: int | None = None
+    born: Count | None = None
 
 
-_heartbeat_decoder = msgspec.json.Decoder(_WireHeartbeat)
-_deregistration_decoder = msgspec.json.Decoder(_WireDeregistration)
+_heartbeat_decoder = ForeignDecoder(msgspec.json.Decoder(_WireHeartbeat))
+_deregistration_decoder = ForeignDecoder(
+    msgspec.json.Decoder(_WireDeregistration)
+)
 
 
 def read_heartbeat_path(target: str) -> str | None:
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -1,11 +1,12 @@
 """Decode the operator's configuration into a route table."""
 
-import math
+import string
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from jasmineramp.authentication import digest_key
+from jasmineramp.decoding import Count, ForeignDecoder, Rate
 from jasmineramp.ids import Revision, RowName, ServiceName, WorkspaceId
 from jasmineramp.mesh.calls import CallKind
 from jasmineramp.mesh.route_table import (
@@ -30,7 +31,7 @@
 
 class _WireTarget(msgspec.Struct):
     service: str
-    weight: float
+    weight: Rate
 
 
 class _WireRoute(msgspec.Struct, rename='camel'):
@@ -41,19 +42,19 @@
     # The latency objective: a response within it earns full credit.
     target_latency: str = '0ms'
     # A rank; 0 is the most important.
-    priority: int = 0
+    priority: Count = 0
     service: str = ''
     weighted_targets: list[_WireTarget] = []
     # The maximum number of sends that an upstream may have received, including
     # the first. Refused sends that did not run are not counted.
-    max_attempts: int = 1
+    max_attempts: Count = 1
     # Calls of the route need no API key.
     auth_exempt: bool = False
 
 
 class _WireLimits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 64 * 1024 * 1024
     header_timeout: str = '3000ms'
     idle_timeout: str = '15000ms'
 
@@ -61,10 +62,10 @@
 # The platform calls a workspace a tenant.
 class _WireTenant(msgspec.Struct):
     keys: list[str] = msgspec.field(name='apiKeys', default_factory=list)
-    priority: int | None = None
+    priority: Count | None = None
     # Requests per second over all nodes; 0 means no limit.
-    rate: float = msgspec.field(name='ratePerS', default=0)
-    burst: float = 0
+    rate: Rate = msgspec.field(name='ratePerS', default=0)
+    burst: Rate = 0
 
 
 class _WireConfiguration(msgspec.Struct):
@@ -74,7 +75,7 @@
     tenants: dict[str, _WireTenant] = {}
 
 
-_decoder = msgspec.json.Decoder(_WireConfiguration)
+_decoder = ForeignDecoder(msgspec.json.Decoder(_WireConfiguration))
 
 
 def decode_configuration(value: bytes, revision: Revision) -> RouteTable:
@@ -95,10 +96,16 @@
         workspaces=dict(_read_workspaces(wire.tenants)),
         keys=tuple(_read_keys(wire.tenants)),
         limits=limits,
-        serial=int(wire.version, 16),
+        serial=_read_serial(wire.version),
     )
 
 
+def _read_serial(version: str) -> int:
+    if not version or not set(version) <= set(string.hexdigits):
+        raise ValueError(f'version {version!r} is not hexadecimal')
+    return int(version, 16)
+
+
 def _read_route(name: str, wire: _WireRoute) -> RouteRow:
     if wire.weighted_targets:
         targets = tuple(
@@ -136,8 +143,7 @@
 ) -> Iterable[tuple[WorkspaceId, RankedWorkspace]]:
     for name, tenant in tenants.items():
         workspace = WorkspaceId(name)
-        rate = tenant.rate if math.isfinite(tenant.rate) else 0
-        row = WorkspaceRow(workspace, rate, tenant.burst)
+        row = WorkspaceRow(workspace, tenant.rate, tenant.burst)
         yield workspace, RankedWorkspace(row, tenant.priority)
 
 
--- a/src/jasmineramp/platform/store_client.py
+++ b/src/jasmineramp/platform/store_client.py
@@ -22,7 +22,7 @@
     StoreReply,
     StoreWrite,
 )
-from jasmineramp.mesh.store_revisions import era_of, number_of
+from jasmineramp.mesh.store_revisions import era_of, number_of, parse_era
 from jasmineramp.platform.store_replies import (
     Converter,
     WireResponse,
@@ -113,7 +113,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Read the era from its header."""
         if name.lower() == _ERA_HEADER and value.isdigit():
-            self.era = int(value)
+            self.era = parse_era(value)
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
--- a/src/jasmineramp/platform/store_replies.py
+++ b/src/jasmineramp/platform/store_replies.py
@@ -1,13 +1,13 @@
 """Read the responses of the platform's store."""
 
 import base64
-import binascii
 from collections.abc import Callable
 
 import msgspec
 
+from jasmineramp.decoding import Count, ForeignDecoder
 from jasmineramp.mesh.store import StoreItem, StoreOutcome, StoreReply
-from jasmineramp.mesh.store_revisions import make_revision
+from jasmineramp.mesh.store_revisions import RevisionNumber, make_revision
 
 _OUTCOMES = {
     200: StoreOutcome.done,
@@ -30,29 +30,29 @@
 
 class _WireItem(msgspec.Struct):
     key: str
-    revision: int
+    revision: RevisionNumber
     value: str = ''
     deleted: bool = False
-    lease: int = 0
+    lease: Count = 0
 
 
 class _WireReply(msgspec.Struct, rename='camel'):
     """Hold the fields of all responses; each call uses a few of them."""
 
     # The revision of the store, or of the write in the response to a write.
-    current_rev: int = 0
-    revision: int = 0
+    current_rev: RevisionNumber = 0
+    revision: RevisionNumber = 0
     items: list[_WireItem] = []
     events: list[_WireItem] = []
     truncated: bool = False
-    lease: int = 0
+    lease: Count = 0
     # Set in the response to a read of one key.
     key: str = ''
     value: str = ''
 
 
 Converter = Callable[[_WireReply, int], StoreReply]
-_decoder = msgspec.json.Decoder(_WireReply)
+_decoder = ForeignDecoder(msgspec.json.Decoder(_WireReply))
 
 
 def read_reply(
@@ -69,7 +69,7 @@
         if outcome is StoreOutcome.done:
             return convert(wire, era)
         items = _read_items(wire.items, era)
-    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
+    except msgspec.MsgspecError as error:
         if outcome is StoreOutcome.done:
             return StoreReply(StoreOutcome.unknown, detail=str(error))
         return StoreReply(outcome, detail=detail)
@@ -82,7 +82,7 @@
     item = StoreItem(
         wire.key,
         make_revision(era, wire.revision),
-        base64.b64decode(wire.value, validate=True),
+        _read_value(wire.value),
     )
     return StoreReply(
         StoreOutcome.done,
@@ -118,14 +118,20 @@
     )
 
 
+def _read_value(text: str) -> bytes:
+    """Return a value, empty if it is damaged: it must not hide the others."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b''
+
+
 def _read_items(wire_items: list[_WireItem], era: int) -> tuple[StoreItem, ...]:
     return tuple(
         StoreItem(
             wire.key,
             make_revision(era, wire.revision),
-            None
-            if wire.deleted
-            else base64.b64decode(wire.value, validate=True),
+            None if wire.deleted else _read_value(wire.value),
             wire.lease,
         )
         for wire in wire_items
--- a/src/jasmineramp/platform/wire_values.py
+++ b/src/jasmineramp/platform/wire_values.py
@@ -13,7 +13,7 @@
                 number = text[: -len(unit)]
                 if number and number[-1].isdigit():
                     duration = float(number) * factor
-                    if math.isfinite(duration):
+                    if math.isfinite(duration) and duration >= 0:
                         return duration
     raise ValueError(f'{text!r} is not a number with the unit ms or s')
 
--- a/src/jasmineramp/rate_slots.py
+++ b/src/jasmineramp/rate_slots.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jasmineramp.clock import Millis, later
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.effects import Effect, EventKind, RecordEvent
 from jasmineramp.ids import DomainId, SlotIndex
 from jasmineramp.store_messages import (
@@ -69,7 +70,7 @@
 _IN_USE = frozenset((SlotPhase.held, SlotPhase.renewing, SlotPhase.checking))
 _SEARCHING = frozenset((SlotPhase.probing, SlotPhase.writing))
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(SlotEntry).decode
+_decode = ForeignDecoder(msgspec.msgpack.Decoder(SlotEntry)).decode
 
 
 class RateSlotState:
--- a/src/jasmineramp/store_http.py
+++ b/src/jasmineramp/store_http.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from jasmineramp.clock import MILLIS_PER_SECOND, Clock
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.store_budget import StoreBudget
 from jasmineramp.store_messages import (
     Get,
@@ -34,7 +35,7 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(StoreAnswer)
+_decoder = ForeignDecoder(msgspec.msgpack.Decoder(StoreAnswer))
 
 
 class HttpStore:
--- a/src/jasmineramp/table_files.py
+++ b/src/jasmineramp/table_files.py
@@ -9,6 +9,7 @@
 import json5
 import msgspec
 
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.exceptions import TableError
 from jasmineramp.table import Table, check_table
 from jasmineramp.table_cells import (
@@ -31,6 +32,8 @@
 _KIND = 'kind'
 _VALUE = 'value'
 
+_table_decoder = ForeignDecoder(msgspec.json.Decoder(Table))
+
 CSV_COLUMNS = tuple(
     dict.fromkeys(
         (_KIND,)
@@ -144,7 +147,7 @@
 def decode_table(body: bytes) -> Table:
     """Decode and check the platform value; raises TableError."""
     try:
-        table = msgspec.json.decode(body, type=Table)
+        table = _table_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise TableError(
             TABLE_PLACE,
--- a/src/jasmineramp/table_session.py
+++ b/src/jasmineramp/table_session.py
@@ -14,6 +14,7 @@
     AcknowledgementRecord,
     acknowledgement_key,
 )
+from jasmineramp.decoding import ForeignDecoder
 from jasmineramp.exceptions import JasminerampError, TableError
 from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.store import Store
@@ -32,6 +33,8 @@
 INITIAL_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 2.0
 
+_record_decoder = ForeignDecoder(msgspec.json.Decoder(AcknowledgementRecord))
+
 
 class StoredTable(NamedTuple):
     """Hold a table and its revision on the platform."""
@@ -145,7 +148,7 @@
         if body is None:
             return DomainStatus(domain, Revision(0), 0, (), pending=True)
         try:
-            record = msgspec.json.decode(body, type=AcknowledgementRecord)
+            record = _record_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise TableError(
                 acknowledgement_key(domain),
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -9,6 +9,7 @@
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.directory import KEY_PREFIX
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Hello,
@@ -241,6 +242,36 @@
             self.assertEqual(await self.fleet.announce(0, **fields), 400)
         self.assertTrue(self.fleet.nodes[0].record.is_ready())
 
+    # Guards against LOST: nodes stopped following the entries, because another
+    # writer left an odd one among them.
+    async def test_odd_entries_of_another_writer_hide_no_node(self) -> None:
+        entry = b'{"node":"%s","version":1,"domain":"a","host":"127.0.0.1",%s}'
+        for name, fields in (
+            (b'o1', b'"port":1,"x":' + b'[' * 10_000 + b']' * 10_000),
+            (b'o2', b'"port":1,"slots":' + b'9' * 30),
+            (b'o3', b'"port":70000,"service":"orders","instance":"i-9"'),
+        ):
+            self.fleet.store.write(
+                f'{KEY_PREFIX}{name.decode()}', entry % (name, fields)
+            )
+        await self.fleet.add(2)
+        await self.fleet.until(self.fleet.is_complete)
+        self.assertEqual(
+            set(self.fleet.nodes[0].fleet.directory.members), {'n0', 'n1', 'n2'}
+        )
+
+    # Guards against an instance that waits for an answer to odd bytes.
+    async def test_nested_announcement_is_refused(self) -> None:
+        status, _, _ = await request(
+            self.fleet.nodes[0].settings.control,
+            'POST',
+            '/instances/i-0/heartbeat',
+            {},
+            b'{"x":' + b'[' * 10_000 + b']' * 10_000 + b'}',
+        )
+        self.assertEqual(status, 400)
+        self.assertEqual(await self.fleet.announce(0), 200)
+
     async def withdraw_key(self) -> None:
         """Withdraw the key of the callers everywhere."""
         configuration = copy.deepcopy(CONFIGURATION)
