Match each answer of a kept connection to its own call

Cause: an answer without an id was taken by its place, and one whose id the connection had carried before could not be told from the present one. Evidence on, by tests: a repeated refusal of the same id (503 where the call is served) and one without an id (503 for a call that runs) were believed; one of another id was not, but the connection stayed in use.

Change: a connection is not used for an id that it has carried. On a connection that has carried a call, an answer without an id is a failure of unknown run. A stray answer ends the use of its connection.

Tests, before the change: three of test_upstream_http failed (503 != 200, 503 != 502, the connection still idle in the pool). take_idle takes the id; the two calls of test_endless_answers name one that was not carried.

Conclusion: "not run" is only told by the answer to the call itself.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -313,7 +313,7 @@
 
     async def _connection(self, call: UpstreamCall) -> UpstreamConnection:
         limit_ms = MAX_IDLE_MS if call.is_idempotent else MAX_IDLE_ONCE_MS
-        connection = self.pool.take_idle(limit_ms)
+        connection = self.pool.take_idle(limit_ms, call.request_id)
         return connection or await self.pool.connect()
 
     async def _exchange(
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -27,6 +27,8 @@
 # Shorter than the idle timeout of upstreams.
 MAX_IDLE_MS = 4_000.0
 MAX_IDLE_CONNECTIONS = 256
+# A call is sent again within seconds, while its connection carries fewer.
+MAX_CARRIED_IDS = 256
 _CONTENT_LENGTH = b'content-length'
 _FRAMING_HEADERS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -85,6 +87,8 @@
         self.buffer = MessageBuffer(pool.max_body_bytes)
         self.reservation = Reservation(pool.budget)
         self.has_surplus = False
+        # The ids of the latest calls, in their order.
+        self.carried: dict[str, None] = {}
         self._reset()
 
     def _reset(self) -> None:
@@ -105,7 +109,10 @@
         """Send a call; return the future of its answer or exception."""
         loop = asyncio.get_running_loop()
         self.exchange = Exchange(request_id, head_only, loop.create_future())
-        self.has_received = False
+        self.carried[request_id] = None
+        if len(self.carried) > MAX_CARRIED_IDS:
+            del self.carried[next(iter(self.carried))]
+        self._reset()
         self.buffer.start_exchange()
         self.transport.write(data)
         return self.exchange.future
@@ -252,7 +259,11 @@
             return
         head = self.pool.read_head(self.headers)
         if head.request_id and head.request_id != exchange.request_id:
-            # A late duplicate response to an earlier call.
+            # A late duplicate response to an earlier call. There may be more.
+            self.keep_alive = False
+            return
+        if self.is_reused and not head.request_id:
+            self._fail(BrokenExchangeError('response may be of another call'))
             return
         self.exchange = None
         self.reservation.release()
@@ -306,15 +317,25 @@
         self.opened_count += 1
         return connection
 
-    def take_idle(self, limit_ms: float) -> UpstreamConnection | None:
-        """Return the most recently used connection idle for at most a limit."""
+    def take_idle(
+        self, limit_ms: float, request_id: str
+    ) -> UpstreamConnection | None:
+        """Return the most recently used connection idle for at most a limit.
+
+        It has not carried the request id: a repeated response to the earlier
+        call could not be told from the one to this call.
+        """
         now = asyncio.get_running_loop().time()
-        while self.idle:
-            connection = self.idle[-1]
+        position = -1
+        while -position <= len(self.idle):
+            connection = self.idle[position]
             idle_ms = (now - connection.idle_since) * MILLIS_PER_SECOND
             if idle_ms > min(limit_ms, connection.idle_limit_ms):
                 return None
-            self.idle.pop()
+            if request_id in connection.carried:
+                position -= 1
+                continue
+            del self.idle[position]
             if connection.is_open and not connection.transport.is_closing():
                 return connection
         return None
--- a/tests/mesh/test_endless_answers.py
+++ b/tests/mesh/test_endless_answers.py
@@ -150,7 +150,7 @@
                 connection = await self.connect(whole, b'')
                 answer, _ = await self.exchange(connection)  # type: ignore
                 self.assertEqual(answer.body, b'ok')
-                self.assertIsNone(connection.pool.take_idle(1000))
+                self.assertIsNone(connection.pool.take_idle(1000, 'id-2'))
 
     async def test_bytes_on_an_idle_connection_close_it(self) -> None:
         connection = await self.connect(
@@ -158,7 +158,7 @@
         )
         await self.exchange(connection)
         connection.data_received(b'HTTP/1.1 200 OK\r\n')
-        self.assertIsNone(connection.pool.take_idle(1000))
+        self.assertIsNone(connection.pool.take_idle(1000, 'id-2'))
 
 
 class NodeTest(unittest.IsolatedAsyncioTestCase):
--- /dev/null
+++ b/tests/mesh/test_upstream_http.py
@@ -0,0 +1,78 @@
+"""Test that each answer of a faulty upstream is matched to its own call."""
+
+import asyncio
+import unittest
+
+from jasmineramp.mesh.caller_http import CallerConnection, CallerResponse
+from jasmineramp.mesh.calls import CallerRequest
+from tests.fakes.mesh import Fleet
+
+REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nX-Jasmineramp-Not-Executed: 1\r\n%s'
+    b'Content-Length: 0\r\n\r\n'
+)
+NAMED_REFUSAL = REFUSAL % b'X-Jasmineramp-Request-Id: id-1\r\n'
+UNNAMED_REFUSAL = REFUSAL % b''
+
+
+class FaultyUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """Test a node whose upstream writes other bytes than its answer."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(1)
+        self.addAsyncCleanup(self.fleet.close)
+        self.upstream = self.fleet.upstreams[0]
+
+    def connection(self) -> CallerConnection:
+        """Return the connection of the only call in progress."""
+        return next(
+            each for each in self.upstream.server.connections if each.is_busy()
+        )
+
+    async def refuse(self, _request: CallerRequest) -> CallerResponse:
+        """Refuse a call as not run."""
+        return CallerResponse(503, [(b'X-Jasmineramp-Not-Executed', b'1')])
+
+    async def refuse_first_call(self) -> None:
+        """Refuse the call id-1, whose connection is kept."""
+        self.upstream.behave = self.refuse
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        self.assertEqual(status, 503)
+        self.assertEqual(len(self.upstream.server.connections), 1)
+
+    async def call_after(self, surplus: bytes, request_id: str) -> int:
+        """Call while the upstream writes surplus bytes before its answer."""
+
+        async def answer(request: CallerRequest) -> CallerResponse:
+            if len(self.upstream.server.connections) == 1:
+                self.connection().transport.write(surplus)
+                await asyncio.sleep(0.05)
+            return CallerResponse(200, [], request.target)
+
+        self.upstream.behave = answer
+        status, _, _ = await self.fleet.call(0, '/buy/1', request_id)
+        return status
+
+    # Guards against REFUSED and TWICE: an earlier refusal, written once more on
+    # a kept connection, that answers a call which runs.
+    async def test_repeated_refusal_of_the_same_id_is_not_believed(
+        self,
+    ) -> None:
+        await self.refuse_first_call()
+        self.assertEqual(await self.call_after(NAMED_REFUSAL, 'id-1'), 200)
+
+    async def test_repeated_refusal_of_another_id_is_not_believed(
+        self,
+    ) -> None:
+        await self.refuse_first_call()
+        self.assertEqual(await self.call_after(NAMED_REFUSAL, 'id-2'), 200)
+        # What else the connection holds back is not waited for.
+        self.assertFalse(self.fleet.nodes[0].gate.pool.idle)
+
+    async def test_refusal_without_an_id_on_a_kept_connection_is_unknown(
+        self,
+    ) -> None:
+        await self.refuse_first_call()
+        self.assertEqual(await self.call_after(UNNAMED_REFUSAL, 'id-2'), 502)
+        self.assertEqual(self.upstream.ran['id-2'], 1)
