Complete an answer at the end of its connection only after its final head

Operators of systems like ours saw: a 200 with an empty or short body, framed as whole, from an instance that stopped in the middle of its answer's head and closed (MIXED).

Cause: the end of a connection completes an answer whose head is known and names no length. A head that is cut off was never known; the head of an informational response was. Evidence, by test: an instance that closes after a 103 with a signature gave the client an answer with status 103 and no body.

Tests: test_answer_that_ends_in_its_head_is_a_failure failed before the change for the informational response (103 != 502); its other cuts and the test on a kept connection held.

Conclusion: no part of a head becomes a whole answer.

--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -74,7 +74,7 @@
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
     """Hold the complete response of an upstream."""
 
-    status: Annotated[int, msgspec.Meta(ge=100, le=999)]
+    status: Annotated[int, msgspec.Meta(ge=200, le=999)]
     reason: bytes
     headers: Headers
     body: bytes
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -181,8 +181,9 @@
 
     def on_headers_complete(self) -> None:
         """Note the status; a bodiless one needs no length header."""
-        self.has_head = True
         self.status = self.parser.get_status_code()
+        # An informational response (1xx) is not the head of the answer.
+        self.has_head = self.status >= 200  # noqa: PLR2004
         if self.status in _BODILESS_STATUSES:
             self.has_framing = True
 
--- a/tests/mesh/test_upstream_http.py
+++ b/tests/mesh/test_upstream_http.py
@@ -7,12 +7,16 @@
 from jasmineramp.mesh.calls import CallerRequest
 from tests.fakes.mesh import Fleet
 
+SIGNATURE = b'X-Jasmineramp-Response-Signature: s\r\n'
 REFUSAL = (
     b'HTTP/1.1 503 Full\r\nX-Jasmineramp-Not-Executed: 1\r\n%s'
     b'Content-Length: 0\r\n\r\n'
 )
 NAMED_REFUSAL = REFUSAL % b'X-Jasmineramp-Request-Id: id-1\r\n'
 UNNAMED_REFUSAL = REFUSAL % b''
+HEAD = (
+    b'HTTP/1.1 200 OK\r\n' + SIGNATURE + b'X-Jasmineramp-Request-Id: id-1\r\n'
+)
 
 
 class FaultyUpstreamTest(unittest.IsolatedAsyncioTestCase):
@@ -76,3 +80,41 @@
         await self.refuse_first_call()
         self.assertEqual(await self.call_after(UNNAMED_REFUSAL, 'id-2'), 502)
         self.assertEqual(self.upstream.ran['id-2'], 1)
+
+    async def break_off(self, answer: bytes) -> int:
+        """Call while the upstream writes a part of an answer and closes."""
+
+        async def write_part(_request: CallerRequest) -> None:
+            connection = self.connection()
+            connection.transport.write(answer)
+            connection.transport.close()
+            await asyncio.sleep(0.05)
+
+        self.upstream.behave = write_part
+        status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+        return status
+
+    # Guards against MIXED: an answer that ends in its head, and is passed on as
+    # a whole one with an empty or short body.
+    async def test_answer_that_ends_in_its_head_is_a_failure(self) -> None:
+        head = HEAD + b'Content-Length: 4\r\n'
+        interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+        for part in (
+            *(head[:end] for end in range(0, len(head), 9)),
+            head,
+            interim,
+            interim + head,
+            b'HTTP/1.1 103 Early Hints\r\n' + SIGNATURE + b'\r\n',
+        ):
+            with self.subTest(part=part):
+                self.assertEqual(await self.break_off(part), 502)
+
+    async def test_answer_that_ends_in_its_head_after_another_one(
+        self,
+    ) -> None:
+        self.upstream.behave = self.upstream.succeed
+        for part in (b'', b'\r\n', HEAD):
+            status, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+            self.assertEqual(status, 200)
+            self.assertEqual(await self.break_off(part), 502)
+            self.upstream.behave = self.upstream.succeed
