Charge a resend after a lost answer to the repeat budget

Cause: a reused connection that ended without a byte passed for one that the instance had closed before the call, and the call was sent again on a fresh connection, outside the budgets and without a look at a departure. Evidence, by test on: the call arrives twice with no credit left, and twice after the instance has said that it leaves.

Change: the call goes to the upstream again only if it may run more than once, the upstream is ready and the repeat budget has credit.

Conclusion: each send that may be a second run is in a budget.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -148,7 +148,7 @@
             return refused
         started = self.clock.now()
         with _RunningCall(self, call_id, call) as running:
-            result = await self._send(call, deadline)
+            result = await self._send(running, deadline)
             running.outcome = outcome_of(result)
         took_ms = self.clock.now() - started
         self.metrics.upstream_time.record(took_ms)
@@ -273,7 +273,10 @@
             else:
                 future.set_result(None)
 
-    async def _send(self, call: UpstreamCall, deadline: Millis) -> CallResult:
+    async def _send(
+        self, running: '_RunningCall', deadline: Millis
+    ) -> CallResult:
+        call = running.call
         try:
             connection = await self._connection(call)
         except ConnectError as error:
@@ -283,12 +286,14 @@
         try:
             return await self._exchange(connection, call, deadline)
         except StaleConnectionError as error:
-            if not call.is_idempotent:
+            # The connection may as well have ended after the call has run.
+            if not self._may_send_again(call):
                 return run_unknown_failure(
                     RefusalCode.upstream_lost, str(error)
                 )
         except BrokenExchangeError as error:
             return self._fail_exchange(call, error)
+        running.mark_repeat()
         try:
             fresh = await self.pool.connect()
             return await self._exchange(fresh, call, deadline)
@@ -297,6 +302,14 @@
         except (StaleConnectionError, BrokenExchangeError) as error:
             return self._fail_exchange(call, error)
 
+    def _may_send_again(self, call: UpstreamCall) -> bool:
+        """Return whether the upstream may get a call that it may have run."""
+        return (
+            call.is_idempotent
+            and self.record.is_ready()
+            and self.repeat_budget.take(call.importance)
+        )
+
     def _fail_exchange(self, call: UpstreamCall, error: Exception) -> Failure:
         if isinstance(error, OversizedAnswerError):
             excess = error.excess
@@ -355,18 +368,26 @@
     ) -> None:
         self.gate = gate
         self.call_id = call_id
-        self.request_id = call.request_id
+        self.call = call
         self.origin = Origin(call.importance, call.is_repeat)
         self.outcome = CallOutcome.cancelled
 
     def __enter__(self) -> '_RunningCall':
-        self.gate.running_calls.add(self.request_id, self.origin)
+        self.gate.running_calls.add(self.call.request_id, self.origin)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self.gate.running_calls.remove(self.request_id, self.origin)
+        self.gate.running_calls.remove(self.call.request_id, self.origin)
         self.gate.finish(self.call_id, self.outcome)
 
+    def mark_repeat(self) -> None:
+        """Count the call, and those that it makes, as repeats."""
+        running_calls = self.gate.running_calls
+        running_calls.remove(self.call.request_id, self.origin)
+        self.call.is_resent = self.call.is_repeat = True
+        self.origin = Origin(self.call.importance, is_repeat=True)
+        running_calls.add(self.call.request_id, self.origin)
+
 
 def _ignore_lost_upstream() -> None:
     """Ignore the loss of the upstream."""
