Do not call a call "not run" after a send that may have run

Callers saw, by test: 503 for a call that an upstream had run; its answer was lost on a kept connection, and the second send was refused.

Cause: the result of the second send was returned as that of the call. A refusal tells nothing of the first send.

Change: a refusal of the second send is a failure of unknown run (502).

Test, before the change: test_refusal_of_the_second_send_does_not_tell_not_run (503 != 502).

Conclusion: "not run" holds for all sends of a call.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -294,9 +294,18 @@
         except BrokenExchangeError as error:
             return self._fail_exchange(call, error)
         running.mark_repeat()
+        result = await self._send_again(call, deadline)
+        if isinstance(result, Failure) and result.run is RunState.not_run:
+            # The refusal tells nothing of the first send.
+            return run_unknown_failure(result.code, result.detail)
+        return result
+
+    async def _send_again(
+        self, call: UpstreamCall, deadline: Millis
+    ) -> CallResult:
         try:
-            fresh = await self.pool.connect()
-            return await self._exchange(fresh, call, deadline)
+            connection = await self.pool.connect()
+            return await self._exchange(connection, call, deadline)
         except ConnectError as error:
             return run_unknown_failure(RefusalCode.upstream_lost, str(error))
         except (StaleConnectionError, BrokenExchangeError) as error:
--- a/tests/mesh/test_instance_gate.py
+++ b/tests/mesh/test_instance_gate.py
@@ -49,6 +49,21 @@
         status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
         self.assertEqual((status, self.upstream.ran['id-1']), (502, 1))
 
+    # Guards against REFUSED: "not run" after a send that may have run.
+    async def test_refusal_of_the_second_send_does_not_tell_not_run(
+        self,
+    ) -> None:
+        async def lose_and_refuse(
+            request: CallerRequest,
+        ) -> CallerResponse | None:
+            if await self.lose_first_answer(request) is None:
+                return None
+            return CallerResponse(503, [(b'X-Jasmineramp-Not-Executed', b'1')])
+
+        self.upstream.behave = lose_and_refuse
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual((status, self.upstream.ran['id-1']), (502, 2))
+
     # Guards against DRAIN: a call sent again to an instance that has said
     # meanwhile that it leaves.
     async def test_call_is_not_sent_again_to_an_instance_that_leaves(
