Let the owner of a rate give way to the one that follows it

Cause: the owner of a token bucket follows from a node's view of the membership. The previous owner took its view from the deaf leader, its lease was valid, and nothing ended its ownership before that of the new one began.

Change: a node that becomes the owner tells the three that come next, with its entry. The previous owner gives way, learns the entry and hands it to the nodes that still ask it, which ask the new owner in the same call. The fields stand behind the known ones of QuotaRequest and QuotaReply, so that the release before reads the frames.

Conclusion: one owner at a time, whatever the views, without a call to the store.

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -12,8 +12,9 @@
 from jasmineramp.mesh.directory import Directory, MemberEntry
 from jasmineramp.mesh.entry import Entry
 from jasmineramp.mesh.peer_links import PeerLink
-from jasmineramp.mesh.peer_messages import StateChanged
+from jasmineramp.mesh.peer_messages import BucketOwner, StateChanged
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
+from jasmineramp.mesh.store_revisions import make_revision
 
 
 class FleetView:
@@ -80,6 +81,14 @@
             )
             self.directory.unreadable.clear()
 
+    def learn_entry(self, owner: BucketOwner) -> None:
+        """Apply an entry that another node has sent before the store did."""
+        number = owner.item.revision
+        item = msgspec.structs.replace(
+            owner.item, revision=make_revision(owner.era, number)
+        )
+        self.apply_entries(self.directory.apply((item,), self.clock.now()))
+
     def _put_member(self, member: MemberEntry, now: Millis) -> None:
         node = member.node
         if node != self.node:
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -35,7 +35,9 @@
 from jasmineramp.mesh.own_upstream import LocalUpstream
 from jasmineramp.mesh.peer_links import PeerSession
 from jasmineramp.mesh.peer_messages import (
+    BucketOwner,
     Hello,
+    QuotaReply,
     QuotaRequest,
     RunReply,
     RunRequest,
@@ -119,7 +121,11 @@
         self.sessions = self.local_upstream.sessions
         self.registration = self.local_upstream.registration
         self.quotas = FleetQuotaClient(
-            settings.node, self.registration.is_valid, clock
+            settings.node,
+            self.registration.is_valid,
+            clock,
+            name_as_owner=self.registration.name_as_owner,
+            learn_entry=self._learn_entry,
         )
         self.admission = CallerAdmission(
             settings.service,
@@ -271,13 +277,16 @@
         if isinstance(task, asyncio.Task):
             task.cancel()
 
-    def take_quota_for_peer(self, frame: QuotaRequest) -> float | None:
-        """Return 0 or a wait in ms, None if this node may not grant tokens."""
+    def take_quota_for_peer(self, frame: QuotaRequest) -> QuotaReply:
+        """Return the reply to a request for a token."""
         table = self.admission.table
         workspace = table and table.workspaces.get(frame.workspace)
         if not workspace:
-            return None
-        return self.quotas.take_as_owner(workspace.row)
+            return QuotaReply(frame.stream, None)
+        return self.quotas.answer(frame, workspace.row)
+
+    def _learn_entry(self, owner: BucketOwner) -> None:
+        self.fleet.learn_entry(owner)
 
     def updates_for_peer(self, frame: UpdateRequest) -> UpdateReply:
         """Return the table and directory changes that a peer lacks."""
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -57,8 +57,8 @@
     def cancel_for_peer(self, session: 'PeerSession', stream: int) -> None:
         """Cancel a call."""
 
-    def take_quota_for_peer(self, frame: QuotaRequest) -> float | None:
-        """Return 0 or a wait in ms, None if this node may not grant tokens."""
+    def take_quota_for_peer(self, frame: QuotaRequest) -> QuotaReply:
+        """Return the reply to a request for a token."""
 
     def updates_for_peer(self, frame: UpdateRequest) -> UpdateReply:
         """Return the table and directory changes that a peer lacks."""
@@ -135,8 +135,7 @@
             case Cancel():
                 self.handler.cancel_for_peer(self, frame.stream)
             case QuotaRequest():
-                wait_ms = self.handler.take_quota_for_peer(frame)
-                self.write(QuotaReply(frame.stream, wait_ms))
+                self.write(self.handler.take_quota_for_peer(frame))
             case UpdateRequest():
                 self.write(self.handler.updates_for_peer(frame))
             case Ping():
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -70,18 +70,37 @@
     """Answer a ping."""
 
 
+class BucketOwner(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Name the owner of a token bucket and its entry in the store.
+
+    The revision of the item is the number of the store, with its era apart.
+    """
+
+    node: NodeId
+    item: StoreItem
+    era: Era = 0
+
+
 class QuotaRequest(Frame, tag=7):
-    """Ask the owner of a workspace's token bucket for one token."""
+    """Ask the owner of a workspace's token bucket for one token.
+
+    With an owner, tell that it owns the bucket now, and ask for no token.
+    """
 
     stream: Count
     workspace: WorkspaceId
+    owner: BucketOwner | None = None
 
 
 class QuotaReply(Frame, tag=8):
-    """Answer with 0 or the wait in ms; None if the node may not grant."""
+    """Answer with 0 or the wait in ms; None if the node may not grant.
+
+    `owner` is set by a node that has given way to it.
+    """
 
     stream: Count
     wait_ms: DurationMs | None
+    owner: BucketOwner | None = None
 
 
 class StateChanged(Frame, tag=9):
--- a/src/jasmineramp/mesh/quota_taker.py
+++ b/src/jasmineramp/mesh/quota_taker.py
@@ -1,12 +1,24 @@
-"""Take rate tokens from the local bucket or from the owner node."""
+"""Take rate tokens from the local bucket or from the owner node.
 
+Nodes see a change of the membership up to seconds apart, so two of them may
+take themselves for the owner of a bucket. A node that becomes the owner
+therefore tells those that come next, one of which was the owner before. That
+one gives way, and tells the nodes that still ask it who the owner is.
+"""
+
+import asyncio
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from jasmineramp.clock import Clock, Millis, later
 from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.mesh.peer_calls import ask_peer
 from jasmineramp.mesh.peer_links import PeerLink
-from jasmineramp.mesh.peer_messages import QuotaReply, QuotaRequest
+from jasmineramp.mesh.peer_messages import (
+    BucketOwner,
+    QuotaReply,
+    QuotaRequest,
+)
 from jasmineramp.mesh.quotas import LocalQuotas, OwnedQuotas, OwnerLookup
 from jasmineramp.mesh.route_table import RankedWorkspace
 from jasmineramp.table import WorkspaceRow
@@ -21,6 +33,30 @@
 FRACTION_VALIDITY_MS = 100.0
 # The owner is asked again after this time, since burst or rate may change.
 MAX_EMPTY_MS = 100.0
+# Nodes that a new owner tells. Unless more nodes have joined at once, one of
+# them is the owner before.
+NOTIFIED_NODES = 3
+# A deaf watch of the entries is noticed after 5 s, and the nodes that follow it
+# learn of a change within another second.
+GIVE_WAY_MS = 6_500.0
+
+
+class _Successor(NamedTuple):
+    """Hold the owner that this node has given way to, and until when."""
+
+    owner: BucketOwner
+    until: Millis
+
+
+async def _notify(
+    link: PeerLink, workspace: WorkspaceId, owner: BucketOwner
+) -> None:
+    if await link.wait_until_up():
+        await ask_peer(
+            link,
+            lambda stream: QuotaRequest(stream, workspace, owner),
+            REPLY_TIMEOUT_S,
+        )
 
 
 class FleetQuotaClient:
@@ -31,10 +67,17 @@
         node: NodeId,
         is_registered: Callable[[Millis], bool],
         clock: Clock,
+        *,
+        name_as_owner: Callable[[], BucketOwner | None],
+        learn_entry: Callable[[BucketOwner], None],
     ) -> None:
         self.node = node
         self.is_registered = is_registered
         self.clock = clock
+        self.name_as_owner = name_as_owner
+        self.learn_entry = learn_entry
+        self.successors: dict[WorkspaceId, _Successor] = {}
+        self.notifying: set[asyncio.Task[None]] = set()
         self.owners = OwnerLookup()
         self.owned = OwnedQuotas()
         self.local = LocalQuotas()
@@ -47,6 +90,9 @@
     def set_nodes(self, nodes: Iterable[NodeId]) -> None:
         """Set the registered nodes; drop buckets with another owner."""
         self.owners.set_nodes(nodes)
+        for workspace, successor in list(self.successors.items()):
+            if successor.owner.node not in self.owners.nodes:
+                del self.successors[workspace]
         self.fraction_valid_until = Millis(float('-inf'))
         self.owned.retain(
             name
@@ -66,6 +112,11 @@
             wait_ms = self.take_as_owner(row)
         elif owner is not None:
             wait_ms = await self._take_at_owner(owner, row)
+        if wait_ms is None and owner != self.owners.find(row.name):
+            # The node asked has told who the owner is.
+            owner = self.owners.find(row.name)
+            if owner is not None and owner != self.node:
+                wait_ms = await self._take_at_owner(owner, row)
         if wait_ms is None:
             fraction = 1 / max(1, len(self.owners.nodes))
             link = None if owner is None else self.links.get(owner)
@@ -84,8 +135,53 @@
             return None
         if not self.is_registered(now):
             return None
+        if self.successor(row.name) is not None:
+            return None
+        if row.name not in self.owned.buckets:
+            self._notify_others(row.name)
         return self.owned.take(row, self._current_reachable_fraction(now), now)
 
+    def answer(self, request: QuotaRequest, row: WorkspaceRow) -> QuotaReply:
+        """Return the reply to a request of another node."""
+        if request.owner is not None:
+            self._give_way(row.name, request.owner)
+            return QuotaReply(request.stream, None)
+        return QuotaReply(
+            request.stream, self.take_as_owner(row), self.successor(row.name)
+        )
+
+    def successor(self, workspace: WorkspaceId) -> BucketOwner | None:
+        """Return the owner that this node has given way to, None if none."""
+        successor = self.successors.get(workspace)
+        if successor is None:
+            return None
+        if self.clock.now() < successor.until:
+            return successor.owner
+        del self.successors[workspace]
+        return None
+
+    def _give_way(self, workspace: WorkspaceId, owner: BucketOwner) -> None:
+        if not self.owners.outranks(owner.node, self.node, workspace):
+            # That node does not know this one yet.
+            return
+        until = later(self.clock.now(), GIVE_WAY_MS)
+        self.successors[workspace] = _Successor(owner, until)
+        self.owned.drop(workspace)
+        self.learn_entry(owner)
+
+    def _notify_others(self, workspace: WorkspaceId) -> None:
+        """Tell the nodes that may have been the owner before."""
+        owner = self.name_as_owner()
+        if owner is None:
+            return
+        loop = asyncio.get_running_loop()
+        for node in self.owners.rank(workspace)[1 : NOTIFIED_NODES + 1]:
+            link = self.links.get(node)
+            if link is not None:
+                task = loop.create_task(_notify(link, workspace, owner))
+                self.notifying.add(task)
+                task.add_done_callback(self.notifying.discard)
+
     def _current_reachable_fraction(self, now: Millis) -> float:
         """Return the fraction of the nodes in contact with this one."""
         if now >= self.fraction_valid_until:
@@ -109,6 +205,10 @@
         )
         if not isinstance(frame, QuotaReply):
             return None
+        if frame.owner and self.owners.outranks(
+            frame.owner.node, owner, row.name
+        ):
+            self.learn_entry(frame.owner)
         if frame.wait_ms:
             empty_ms = min(frame.wait_ms, MAX_EMPTY_MS)
             self.empty_until[row.name] = later(self.clock.now(), empty_ms)
--- a/src/jasmineramp/mesh/quotas.py
+++ b/src/jasmineramp/mesh/quotas.py
@@ -56,6 +56,10 @@
             self.buckets[row.name] = bucket
         return bucket.take(row.rate * reachable_fraction, row.burst, now)
 
+    def drop(self, workspace: WorkspaceId) -> None:
+        """Drop the bucket of a workspace."""
+        self.buckets.pop(workspace, None)
+
     def retain(self, owned: Iterable[WorkspaceId]) -> None:
         """Drop the buckets of all workspaces except the given ones."""
         wanted = set(owned)
@@ -106,6 +110,10 @@
             self.owner_by_name[name] = owner
         return owner
 
+    def outranks(self, node: NodeId, other: NodeId, name: str) -> bool:
+        """Return whether a node goes before another one, registered or not."""
+        return _weight(node, name) > _weight(other, name)
+
     def rank(self, name: str) -> tuple[NodeId, ...]:
         """Return all nodes, the owner first, then who would replace it."""
         ranking = self.ranking_by_name.get(name)
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -27,6 +27,7 @@
     read_departures,
     read_entry,
 )
+from jasmineramp.mesh.peer_messages import BucketOwner
 from jasmineramp.mesh.store import (
     Store,
     StoreItem,
@@ -34,6 +35,7 @@
     StoreWrite,
 )
 from jasmineramp.mesh.store_pauses import Backoff
+from jasmineramp.mesh.store_revisions import era_of, number_of
 
 LEASE_TTL_MS = 8_000
 RENEW_INTERVAL_MS = 2_000
@@ -104,6 +106,18 @@
         """Return whether the lease, and with it the entry, is still valid."""
         return now < self.valid_until
 
+    def name_as_owner(self) -> BucketOwner | None:
+        """Return this node with its stored entry, None without one."""
+        if self.written is None:
+            return None
+        node = self.written.node
+        item = StoreItem(
+            entry_key(node),
+            Revision(number_of(self.revision)),
+            _encoder.encode(self.written),
+        )
+        return BucketOwner(node, item, era_of(self.revision))
+
     async def run(self) -> None:
         """Renew the lease and write changed entries until closed."""
         while not self.is_closed:
