Count bodies from peers in the memory budget of a node

Cause: the budget for bodies counted those of callers and of the upstream, not those in frames from peers.

Change: a frame of more than 64 KiB takes its size from the budget until its call has ended. Without room its bytes are dropped and the call is refused as not run; reading goes on, because the connection carries other calls and signs of life.

Test, before the change: test_large_body_from_a_peer_needs_memory (504 != 503: the call ran, and its answer found no memory).

Conclusion: what a node receives is bounded, whoever sends it.

--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -17,6 +17,7 @@
 from jasmineramp.mesh.calls import (
     CallerRequest,
     CallResult,
+    not_run_failure,
     run_unknown_failure,
 )
 from jasmineramp.mesh.decision_log import DecisionLog
@@ -46,7 +47,11 @@
 )
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
-from jasmineramp.mesh.receive_limits import ReceiveBudget, limits_for
+from jasmineramp.mesh.receive_limits import (
+    ReceiveBudget,
+    Reservation,
+    limits_for,
+)
 from jasmineramp.mesh.relay import Relay
 from jasmineramp.mesh.retry_budget import RepeatBudget, RetryBudget
 from jasmineramp.mesh.route_table import (
@@ -197,7 +202,7 @@
         await self.metrics_server.listen(*self.settings.metrics)
         await self.caller_server.listen(*self.settings.outbound)
         self.peer_server = await loop.create_server(
-            lambda: PeerSession(self, self.sessions),
+            lambda: PeerSession(self, self.sessions, self.receive_budget),
             *self.settings.inbound,
             reuse_address=True,
         )
@@ -265,12 +270,35 @@
         """Exchange what a peer that has just connected may not know yet."""
         self.local_upstream.greet_peer(session, frame.departed)
 
-    def run_for_peer(self, session: PeerSession, frame: RunRequest) -> None:
+    def run_for_peer(
+        self,
+        session: PeerSession,
+        frame: RunRequest,
+        memory: Reservation | None = None,
+    ) -> None:
         """Run a call received from a peer at the upstream of this VM."""
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._run_for_peer(session, frame))
+        if memory is not None:
+            # Also called for a task that is cancelled before it starts.
+            task.add_done_callback(lambda _: memory.release())
         session.streams[frame.stream] = task
 
+    def refuse_for_peer(self, session: PeerSession, stream: int) -> None:
+        """Refuse a call of a peer whose body finds too little memory."""
+        self.log.write(
+            'body_dropped',
+            used_bytes=self.receive_budget.used_bytes,
+            total_bytes=self.receive_budget.total_bytes,
+        )
+        self._reply_to_peer(
+            session,
+            stream,
+            not_run_failure(
+                RefusalCode.overloaded, 'too little memory for the body'
+            ),
+        )
+
     def cancel_for_peer(self, session: PeerSession, stream: int) -> None:
         """Cancel a call received from a peer."""
         task = session.streams.pop(stream, None)
@@ -304,10 +332,15 @@
                 RefusalCode.internal_error, 'internal error in the node'
             )
         session.streams.pop(frame.stream, None)
+        self._reply_to_peer(session, frame.stream, result)
+
+    def _reply_to_peer(
+        self, session: PeerSession, stream: int, result: CallResult
+    ) -> None:
         load = self.gate.load()
         session.write(
             RunReply(
-                frame.stream,
+                stream,
                 result,
                 load,
                 self.gate.pressure.is_starved(),
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -10,10 +10,13 @@
 
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.departures import Departed
+from jasmineramp.mesh.frame_buffer import (
+    BudgetedFrameBuffer,
+    FrameBuffer,
+)
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Cancel,
-    FrameBuffer,
     Hello,
     PeerFrame,
     Ping,
@@ -27,7 +30,9 @@
     UpdateRequest,
     decode_frame,
     encode_frame,
+    read_call_stream,
 )
+from jasmineramp.mesh.receive_limits import ReceiveBudget, Reservation
 
 CONNECT_TIMEOUT_S = 0.5
 # A peer in another failure domain answers a ping within a few milliseconds.
@@ -51,8 +56,16 @@
     def greet_peer(self, session: 'PeerSession', frame: Hello) -> None:
         """Exchange what a peer that has just connected may not know yet."""
 
-    def run_for_peer(self, session: 'PeerSession', frame: RunRequest) -> None:
-        """Run a call at the upstream of this VM."""
+    def run_for_peer(
+        self,
+        session: 'PeerSession',
+        frame: RunRequest,
+        memory: Reservation | None = None,
+    ) -> None:
+        """Run a call at the upstream of this VM, then release its memory."""
+
+    def refuse_for_peer(self, session: 'PeerSession', stream: int) -> None:
+        """Refuse a call whose body finds too little memory."""
 
     def cancel_for_peer(self, session: 'PeerSession', stream: int) -> None:
         """Cancel a call."""
@@ -68,7 +81,6 @@
     """Read and write frames on one connection."""
 
     def __init__(self) -> None:
-        self.frames = FrameBuffer()
         self.is_open = False
         self.loop = asyncio.get_running_loop()
         self.last_received = self.loop.time()
@@ -83,8 +95,7 @@
         """Decode and handle the complete frames; abort on a malformed one."""
         self.last_received = self.loop.time()
         try:
-            for body in self.frames.feed(data):
-                self.handle(decode_frame(body))
+            self.receive(data)
         except (ValueError, msgspec.MsgspecError):
             # The sender runs another release or does not speak this protocol.
             self.transport.abort()
@@ -98,8 +109,8 @@
         """Return whether a frame is still in the write buffer."""
         return self.is_open and self.transport.get_write_buffer_size() > 0
 
-    def handle(self, frame: PeerFrame) -> None:
-        """Handle one frame."""
+    def receive(self, data: bytes) -> None:
+        """Handle the frames that are complete."""
         raise NotImplementedError
 
 
@@ -107,9 +118,13 @@
     """Serve the requests of one peer that has connected to this node."""
 
     def __init__(
-        self, handler: PeerRequestHandler, sessions: 'set[PeerSession]'
+        self,
+        handler: PeerRequestHandler,
+        sessions: 'set[PeerSession]',
+        budget: ReceiveBudget,
     ) -> None:
         super().__init__()
+        self.frames = BudgetedFrameBuffer(budget)
         self.handler = handler
         self.sessions = sessions
         self.streams: dict[int, object] = {}
@@ -118,10 +133,32 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the peer."""
         self.is_open = False
+        self.frames.close()
         self.sessions.discard(self)
         for stream in list(self.streams):
             self.handler.cancel_for_peer(self, stream)
 
+    def receive(self, data: bytes) -> None:
+        """Handle the frames that are complete."""
+        for received in self.frames.feed(data):
+            if received.is_dropped:
+                stream = read_call_stream(received.content)
+                self.handler.refuse_for_peer(self, stream)
+            elif received.reservation is None:
+                self.handle(decode_frame(received.content))
+            else:
+                self._receive_large(received.content, received.reservation)
+
+    def _receive_large(self, content: bytes, memory: Reservation) -> None:
+        with contextlib.ExitStack() as stack:
+            stack.callback(memory.release)
+            frame = decode_frame(content)
+            if isinstance(frame, RunRequest):
+                stack.pop_all()
+                self.handler.run_for_peer(self, frame, memory)
+            else:
+                self.handle(frame)
+
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         match frame:
@@ -147,6 +184,7 @@
 
     def __init__(self, link: 'PeerLink') -> None:
         super().__init__()
+        self.frames = FrameBuffer()
         self.link = link
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -154,6 +192,11 @@
         self.is_open = False
         self.link.on_connection_lost(self)
 
+    def receive(self, data: bytes) -> None:
+        """Handle the frames that are complete."""
+        for content in self.frames.feed(data):
+            self.handle(decode_frame(content))
+
     def handle(self, frame: PeerFrame) -> None:
         """Handle one frame."""
         match frame:
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -10,14 +10,15 @@
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
 from jasmineramp.mesh.departures import Departed
-from jasmineramp.mesh.receive_limits import MAX_BODY_BYTES, MEBIBYTE
+from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.store import StoreItem
 from jasmineramp.mesh.store_revisions import Era, RevisionNumber
 
 PROTOCOL_VERSION = 1
-LENGTH_PREFIX_BYTES = 4
-# Fits the largest body, plus its headers.
-MAX_FRAME_BYTES = MAX_BODY_BYTES + MEBIBYTE
+# MessagePack: an array of three, whose first is the tag of RunRequest.
+_RUN_REQUEST_HEAD = b'\x93\x02'
+_MAX_FIXINT = 0x7F
+_INTEGER_WIDTHS = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
 
 
 class Frame(msgspec.Struct, array_like=True, gc=False):
@@ -176,41 +177,17 @@
     return _decoder.decode(body)
 
 
-class FrameBuffer:
-    """Split a stream of bytes into frames."""
-
-    def __init__(self) -> None:
-        self.buffer = bytearray()
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the complete frames; raise ValueError on an oversized one."""
-        buffer = self.buffer
-        if not buffer:
-            # Most reads hold whole frames, which are split without buffering.
-            frames, start = _split_frames(data)
-            buffer += data[start:]
-            return frames
-        buffer += data
-        frames, start = _split_frames(buffer)
-        del buffer[:start]
-        return frames
-
-
-def _split_frames(data: bytes | bytearray) -> tuple[list[bytes], int]:
-    """Return the complete frames and the offset of the next one."""
-    frames: list[bytes] = []
-    start = 0
-    available = len(data)
-    while available - start >= LENGTH_PREFIX_BYTES:
-        body = start + LENGTH_PREFIX_BYTES
-        size = int.from_bytes(data[start:body], 'big')
-        if size > MAX_FRAME_BYTES:
-            raise ValueError(
-                f'frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes'
-            )
-        body_end = body + size
-        if available < body_end:
-            break
-        frames.append(bytes(data[body:body_end]))
-        start = body_end
-    return frames, start
+def read_call_stream(head: bytes) -> int:
+    """Return the stream of a RunRequest from the start of its encoding.
+
+    Raise ValueError for another frame.
+    """
+    if head[:2] != _RUN_REQUEST_HEAD:
+        raise ValueError('frame is not a call')
+    first = head[2]
+    if first <= _MAX_FIXINT:
+        return first
+    width = _INTEGER_WIDTHS.get(first)
+    if width is None:
+        raise ValueError('stream is not a number')
+    return int.from_bytes(head[3 : 3 + width], 'big')
--- a/tests/mesh/test_graceful_stop.py
+++ b/tests/mesh/test_graceful_stop.py
@@ -13,13 +13,13 @@
 from jasmineramp.mesh import graceful_stop
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import Answer, CallerRequest, UpstreamCall
+from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.graceful_stop import (
     CALLER_CLOSE_DELAY_MS,
     POLL_S,
     GracefulStop,
 )
 from jasmineramp.mesh.peer_messages import (
-    LENGTH_PREFIX_BYTES,
     PROTOCOL_VERSION,
     Hello,
     PeerFrame,
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -15,6 +15,7 @@
     Hello,
     encode_frame,
 )
+from jasmineramp.mesh.receive_limits import SMALL_BODY_BYTES
 from tests.fakes.mesh import CONFIGURATION, KEY, Fleet, request
 
 SIGNATURE = 'X-Jasmineramp-Response-Signature'
@@ -272,6 +273,27 @@
         self.assertEqual(status, 400)
         self.assertEqual(await self.fleet.announce(0), 200)
 
+    # Guards against LOST: a node that bodies from its peers take over its
+    # memory, and that is killed with the calls of its callers.
+    async def test_large_body_from_a_peer_needs_memory(self) -> None:
+        self.assertEqual(await self.fleet.announce(0, 'draining'), 200)
+        budget = self.fleet.nodes[1].receive_budget
+        body = bytes(2 * SMALL_BODY_BYTES)
+
+        async def buy(request_id: str, content: bytes) -> int:
+            status, _, _ = await self.fleet.call(
+                0, '/buy/1', request_id, method='POST', body=content
+            )
+            return status
+
+        budget.try_reserve(budget.total_bytes)
+        self.assertEqual(await buy('id-1', body), 503)
+        self.assertEqual(self.count_runs('id-1'), 0)
+        self.assertEqual(await buy('id-2', b'small'), 200)
+        budget.release(budget.total_bytes)
+        self.assertEqual(await buy('id-3', body), 200)
+        self.assertEqual(budget.used_bytes, 0)
+
     async def withdraw_key(self) -> None:
         """Withdraw the key of the callers everywhere."""
         configuration = copy.deepcopy(CONFIGURATION)
--- a/tests/mesh/test_peer_messages.py
+++ b/tests/mesh/test_peer_messages.py
@@ -3,57 +3,17 @@
 import unittest
 
 import msgspec
-from hypothesis import given
-from hypothesis import strategies as st
 
-from jasmineramp.ids import WorkspaceId
+from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.peer_messages import (
-    LENGTH_PREFIX_BYTES,
-    MAX_FRAME_BYTES,
-    FrameBuffer,
-    Ping,
-    QuotaRequest,
     UpdateReply,
     UpdateRequest,
     decode_frame,
     encode_frame,
+    read_call_stream,
 )
 
 
-class FrameBufferTest(unittest.TestCase):
-    """Guard against frames that are lost or split wrongly between reads."""
-
-    @given(
-        st.lists(st.integers(min_value=0, max_value=10**9), max_size=8),
-        st.lists(st.integers(min_value=1, max_value=40), min_size=1),
-    )
-    def test_frames_do_not_depend_on_read_sizes(
-        self, streams: list[int], sizes: list[int]
-    ) -> None:
-        """Frames arrive complete and in order, whatever the read sizes."""
-        sent = [QuotaRequest(each, WorkspaceId('shop')) for each in streams]
-        data = b''.join(encode_frame(each) for each in sent)
-        buffer = FrameBuffer()
-        received = []
-        while data:
-            size = sizes[len(data) % len(sizes)]
-            chunk, data = data[:size], data[size:]
-            received += [decode_frame(each) for each in buffer.feed(chunk)]
-        self.assertEqual(received, sent)
-        self.assertFalse(buffer.buffer)
-
-    def test_rejects_an_oversized_frame(self) -> None:
-        """A peer that speaks another protocol can't exhaust the memory."""
-        oversized_prefix = (MAX_FRAME_BYTES + 1).to_bytes(4, 'big')
-        with self.assertRaises(ValueError):
-            FrameBuffer().feed(oversized_prefix)
-        buffer = FrameBuffer()
-        ping = encode_frame(Ping())
-        buffer.feed(ping + oversized_prefix[:2])
-        with self.assertRaises(ValueError):
-            buffer.feed(oversized_prefix[2:])
-
-
 class EarlierReleaseTest(unittest.TestCase):
     """Frames of the release without eras are read as of era 0."""
 
@@ -71,3 +31,17 @@
         frame = encode_frame(UpdateRequest(1, 30, 31, 2, 3))
         fields = msgspec.msgpack.decode(frame[LENGTH_PREFIX_BYTES:])
         self.assertEqual(fields, [10, 1, 30, 31, 2, 3])
+
+
+class CallStreamTest(unittest.TestCase):
+    """Test the start of a call whose rest is dropped."""
+
+    def test_stream_is_read_from_the_start_of_a_call(self) -> None:
+        for stream in (0, 127, 128, 255, 256, 1 << 16, 1 << 32, (1 << 63) - 1):
+            frame = msgspec.msgpack.encode([2, stream, [0] * 20])
+            self.assertEqual(read_call_stream(frame[:16]), stream)
+
+    def test_other_frames_have_no_call(self) -> None:
+        for frame in ([3, 1, []], [2, 'x', []], [2, 1], []):
+            with self.assertRaises(ValueError):
+                read_call_stream(msgspec.msgpack.encode(frame))
