Split what peers ask for from the node and its links

PeerService answers the requests of peers, peer_sessions holds their connections, peer_protocol the frames of both sides, and running_calls the life of one call. Behaviour stays, but for two additions: a call that is sent once more to the same instance is logged (sent_again) and counted with the repeats, and a connection remembers 64 ids in place of 256, as memory is billed.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -1,6 +1,7 @@
 """Admit calls to the local upstream and send them to it."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 
@@ -27,7 +28,7 @@
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.retry_budget import RepeatBudget
-from jasmineramp.mesh.running_calls import Origin, RunningCalls
+from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
 from jasmineramp.mesh.slot_limit import SlotLimiter
 from jasmineramp.mesh.upstream_http import (
     MAX_IDLE_MS,
@@ -147,7 +148,8 @@
             self._log_refusal(call, refused, self.clock.now() - now)
             return refused
         started = self.clock.now()
-        with _RunningCall(self, call_id, call) as running:
+        finish = functools.partial(self.finish, call_id)
+        with RunningCall(self.running_calls, call, finish) as running:
             result = await self._send(running, deadline)
             running.outcome = outcome_of(result)
         took_ms = self.clock.now() - started
@@ -273,9 +275,7 @@
             else:
                 future.set_result(None)
 
-    async def _send(
-        self, running: '_RunningCall', deadline: Millis
-    ) -> CallResult:
+    async def _send(self, running: RunningCall, deadline: Millis) -> CallResult:
         call = running.call
         try:
             connection = await self._connection(call)
@@ -294,6 +294,14 @@
         except BrokenExchangeError as error:
             return self._fail_exchange(call, error)
         running.mark_repeat()
+        self.metrics.repeats[call.service] += 1
+        self.log.write(
+            'sent_again',
+            request=call.request_id,
+            instance=call.instance,
+            cause='connection ended without an answer',
+            credit=round(self.repeat_budget.credit, 1),
+        )
         result = await self._send_again(call, deadline)
         if isinstance(result, Failure) and result.run is RunState.not_run:
             # The refusal tells nothing of the first send.
@@ -369,34 +377,5 @@
         return result_of_answer(answer, head)
 
 
-class _RunningCall:
-    """Record the end of a running call, also when it is cancelled."""
-
-    def __init__(
-        self, gate: InstanceGate, call_id: CallId, call: UpstreamCall
-    ) -> None:
-        self.gate = gate
-        self.call_id = call_id
-        self.call = call
-        self.origin = Origin(call.importance, call.is_repeat)
-        self.outcome = CallOutcome.cancelled
-
-    def __enter__(self) -> '_RunningCall':
-        self.gate.running_calls.add(self.call.request_id, self.origin)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.gate.running_calls.remove(self.call.request_id, self.origin)
-        self.gate.finish(self.call_id, self.outcome)
-
-    def mark_repeat(self) -> None:
-        """Count the call, and those that it makes, as repeats."""
-        running_calls = self.gate.running_calls
-        running_calls.remove(self.call.request_id, self.origin)
-        self.call.is_resent = self.call.is_repeat = True
-        self.origin = Origin(self.call.importance, is_repeat=True)
-        running_calls.add(self.call.request_id, self.origin)
-
-
 def _ignore_lost_upstream() -> None:
     """Ignore the loss of the upstream."""
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -14,12 +14,7 @@
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.caller_admission import CallerAdmission
 from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
-from jasmineramp.mesh.calls import (
-    CallerRequest,
-    CallResult,
-    not_run_failure,
-    run_unknown_failure,
-)
+from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory_watch import DirectoryWatch
 from jasmineramp.mesh.downstream import DownstreamPressure
@@ -34,24 +29,12 @@
 )
 from jasmineramp.mesh.node_settings import NodeSettings
 from jasmineramp.mesh.own_upstream import LocalUpstream
-from jasmineramp.mesh.peer_links import PeerSession
-from jasmineramp.mesh.peer_messages import (
-    BucketOwner,
-    Hello,
-    QuotaReply,
-    QuotaRequest,
-    RunReply,
-    RunRequest,
-    UpdateReply,
-    UpdateRequest,
-)
+from jasmineramp.mesh.peer_messages import BucketOwner
+from jasmineramp.mesh.peer_service import PeerService
+from jasmineramp.mesh.peer_sessions import PeerSession
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
-from jasmineramp.mesh.receive_limits import (
-    ReceiveBudget,
-    Reservation,
-    limits_for,
-)
+from jasmineramp.mesh.receive_limits import ReceiveBudget, limits_for
 from jasmineramp.mesh.relay import Relay
 from jasmineramp.mesh.retry_budget import RepeatBudget, RetryBudget
 from jasmineramp.mesh.route_table import (
@@ -63,7 +46,6 @@
 from jasmineramp.mesh.table_watch import TableWatch
 from jasmineramp.mesh.upstream_http import UpstreamPool
 from jasmineramp.mesh.upstream_state import UpstreamRecord
-from jasmineramp.refusals import RefusalCode
 
 TICK_S = 0.1
 TICKS_PER_LOG_FLUSH = 2
@@ -174,6 +156,15 @@
             links=self.entry.links,
             clock=clock,
         )
+        self.peer_service = PeerService(
+            self.gate,
+            self.local_upstream,
+            self.admission,
+            quotas=self.quotas,
+            relay=self.relay,
+            budget=self.receive_budget,
+            log=log,
+        )
         self.table_watch.ask_leader = self.relay.ask
         self.table_watch.is_candidate = self.relay.is_candidate
         self.directory_watch.is_following = self.relay.is_following
@@ -202,7 +193,9 @@
         await self.metrics_server.listen(*self.settings.metrics)
         await self.caller_server.listen(*self.settings.outbound)
         self.peer_server = await loop.create_server(
-            lambda: PeerSession(self, self.sessions, self.receive_budget),
+            lambda: PeerSession(
+                self.peer_service, self.sessions, self.receive_budget
+            ),
             *self.settings.inbound,
             reuse_address=True,
         )
@@ -266,88 +259,9 @@
         self.gate.pool.close()
         self.log.flush()
 
-    def greet_peer(self, session: PeerSession, frame: Hello) -> None:
-        """Exchange what a peer that has just connected may not know yet."""
-        self.local_upstream.greet_peer(session, frame.departed)
-
-    def run_for_peer(
-        self,
-        session: PeerSession,
-        frame: RunRequest,
-        memory: Reservation | None = None,
-    ) -> None:
-        """Run a call received from a peer at the upstream of this VM."""
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._run_for_peer(session, frame))
-        if memory is not None:
-            # Also called for a task that is cancelled before it starts.
-            task.add_done_callback(lambda _: memory.release())
-        session.streams[frame.stream] = task
-
-    def refuse_for_peer(self, session: PeerSession, stream: int) -> None:
-        """Refuse a call of a peer whose body finds too little memory."""
-        self.log.write(
-            'body_dropped',
-            used_bytes=self.receive_budget.used_bytes,
-            total_bytes=self.receive_budget.total_bytes,
-        )
-        self._reply_to_peer(
-            session,
-            stream,
-            not_run_failure(
-                RefusalCode.overloaded, 'too little memory for the body'
-            ),
-        )
-
-    def cancel_for_peer(self, session: PeerSession, stream: int) -> None:
-        """Cancel a call received from a peer."""
-        task = session.streams.pop(stream, None)
-        if isinstance(task, asyncio.Task):
-            task.cancel()
-
-    def take_quota_for_peer(self, frame: QuotaRequest) -> QuotaReply:
-        """Return the reply to a request for a token."""
-        table = self.admission.table
-        workspace = table and table.workspaces.get(frame.workspace)
-        if not workspace:
-            return QuotaReply(frame.stream, None)
-        return self.quotas.answer(frame, workspace.row)
-
     def _learn_entry(self, owner: BucketOwner) -> None:
         self.fleet.learn_entry(owner)
 
-    def updates_for_peer(self, frame: UpdateRequest) -> UpdateReply:
-        """Return the table and directory changes that a peer lacks."""
-        return self.relay.answer(frame)
-
-    async def _run_for_peer(
-        self, session: PeerSession, frame: RunRequest
-    ) -> None:
-        result: CallResult
-        try:
-            result = await self.gate.run(frame.call)
-        except Exception as error:
-            self.log.write('fault', work='peer call', error=repr(error))
-            result = run_unknown_failure(
-                RefusalCode.internal_error, 'internal error in the node'
-            )
-        session.streams.pop(frame.stream, None)
-        self._reply_to_peer(session, frame.stream, result)
-
-    def _reply_to_peer(
-        self, session: PeerSession, stream: int, result: CallResult
-    ) -> None:
-        load = self.gate.load()
-        session.write(
-            RunReply(
-                stream,
-                result,
-                load,
-                self.gate.pressure.is_starved(),
-                self.gate.has_room(load),
-            )
-        )
-
     async def _withdraw_upstream(self) -> None:
         self.gate.is_node_stopping = True
         self.local_upstream.notify_peers(UpstreamState.draining)
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -12,8 +12,8 @@
 from jasmineramp.mesh.directory import MemberEntry
 from jasmineramp.mesh.instance_gate import InstanceGate
 from jasmineramp.mesh.node_settings import NodeSettings
-from jasmineramp.mesh.peer_links import PeerSession
 from jasmineramp.mesh.peer_messages import StateChanged
+from jasmineramp.mesh.peer_sessions import PeerSession
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.registration import Registration
 from jasmineramp.mesh.store import Store
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -1,45 +1,31 @@
-"""Exchange frames with the nodes of other VMs over TCP."""
+"""Keep a connection to each of the other nodes and match its replies."""
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Callable
-from typing import Protocol
-
-import msgspec
 
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.departures import Departed
-from jasmineramp.mesh.frame_buffer import (
-    BudgetedFrameBuffer,
-    FrameBuffer,
-)
+from jasmineramp.mesh.frame_buffer import FrameBuffer
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Cancel,
     Hello,
     PeerFrame,
     Ping,
-    Pong,
     QuotaReply,
-    QuotaRequest,
     RunReply,
-    RunRequest,
     StateChanged,
     UpdateReply,
-    UpdateRequest,
     decode_frame,
-    encode_frame,
-    read_call_stream,
 )
-from jasmineramp.mesh.receive_limits import ReceiveBudget, Reservation
+from jasmineramp.mesh.peer_protocol import FrameProtocol
 
 CONNECT_TIMEOUT_S = 0.5
 # A peer in another failure domain answers a ping within a few milliseconds.
 PING_INTERVAL_S = 0.25
 SILENCE_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.25
-TCP_USER_TIMEOUT_MS = 1_500
 
 
 class LinkLostError(Exception):
@@ -50,136 +36,7 @@
     """Report that a frame was not sent because the link is not connected."""
 
 
-class PeerRequestHandler(Protocol):
-    """Handle the requests that peers send to this node."""
-
-    def greet_peer(self, session: 'PeerSession', frame: Hello) -> None:
-        """Exchange what a peer that has just connected may not know yet."""
-
-    def run_for_peer(
-        self,
-        session: 'PeerSession',
-        frame: RunRequest,
-        memory: Reservation | None = None,
-    ) -> None:
-        """Run a call at the upstream of this VM, then release its memory."""
-
-    def refuse_for_peer(self, session: 'PeerSession', stream: int) -> None:
-        """Refuse a call whose body finds too little memory."""
-
-    def cancel_for_peer(self, session: 'PeerSession', stream: int) -> None:
-        """Cancel a call."""
-
-    def take_quota_for_peer(self, frame: QuotaRequest) -> QuotaReply:
-        """Return the reply to a request for a token."""
-
-    def updates_for_peer(self, frame: UpdateRequest) -> UpdateReply:
-        """Return the table and directory changes that a peer lacks."""
-
-
-class _FrameProtocol(asyncio.Protocol):
-    """Read and write frames on one connection."""
-
-    def __init__(self) -> None:
-        self.is_open = False
-        self.loop = asyncio.get_running_loop()
-        self.last_received = self.loop.time()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
-        self.is_open = True
-        _set_tcp_options(self.transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Decode and handle the complete frames; abort on a malformed one."""
-        self.last_received = self.loop.time()
-        try:
-            self.receive(data)
-        except (ValueError, msgspec.MsgspecError):
-            # The sender runs another release or does not speak this protocol.
-            self.transport.abort()
-
-    def write(self, frame: PeerFrame) -> None:
-        """Send a frame; drop it if the connection is closed."""
-        if self.is_open:
-            self.transport.write(encode_frame(frame))
-
-    def has_unsent_bytes(self) -> bool:
-        """Return whether a frame is still in the write buffer."""
-        return self.is_open and self.transport.get_write_buffer_size() > 0
-
-    def receive(self, data: bytes) -> None:
-        """Handle the frames that are complete."""
-        raise NotImplementedError
-
-
-class PeerSession(_FrameProtocol):
-    """Serve the requests of one peer that has connected to this node."""
-
-    def __init__(
-        self,
-        handler: PeerRequestHandler,
-        sessions: 'set[PeerSession]',
-        budget: ReceiveBudget,
-    ) -> None:
-        super().__init__()
-        self.frames = BudgetedFrameBuffer(budget)
-        self.handler = handler
-        self.sessions = sessions
-        self.streams: dict[int, object] = {}
-        sessions.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the calls of the peer."""
-        self.is_open = False
-        self.frames.close()
-        self.sessions.discard(self)
-        for stream in list(self.streams):
-            self.handler.cancel_for_peer(self, stream)
-
-    def receive(self, data: bytes) -> None:
-        """Handle the frames that are complete."""
-        for received in self.frames.feed(data):
-            if received.is_dropped:
-                stream = read_call_stream(received.content)
-                self.handler.refuse_for_peer(self, stream)
-            elif received.reservation is None:
-                self.handle(decode_frame(received.content))
-            else:
-                self._receive_large(received.content, received.reservation)
-
-    def _receive_large(self, content: bytes, memory: Reservation) -> None:
-        with contextlib.ExitStack() as stack:
-            stack.callback(memory.release)
-            frame = decode_frame(content)
-            if isinstance(frame, RunRequest):
-                stack.pop_all()
-                self.handler.run_for_peer(self, frame, memory)
-            else:
-                self.handle(frame)
-
-    def handle(self, frame: PeerFrame) -> None:
-        """Handle one frame."""
-        match frame:
-            case Hello() if frame.version != PROTOCOL_VERSION:
-                # The peer marks this node unreachable and calls other nodes.
-                self.transport.abort()
-            case Hello():
-                self.handler.greet_peer(self, frame)
-            case RunRequest():
-                self.handler.run_for_peer(self, frame)
-            case Cancel():
-                self.handler.cancel_for_peer(self, frame.stream)
-            case QuotaRequest():
-                self.write(self.handler.take_quota_for_peer(frame))
-            case UpdateRequest():
-                self.write(self.handler.updates_for_peer(frame))
-            case Ping():
-                self.write(Pong())
-
-
-class _LinkConnection(_FrameProtocol):
+class _LinkConnection(FrameProtocol):
     """Read the replies on the connection of a peer link."""
 
     def __init__(self, link: 'PeerLink') -> None:
@@ -394,12 +251,3 @@
 
 def _ignore_state(_frame: StateChanged) -> None:
     """Ignore what a retired link reports about its upstream."""
-
-
-def _set_tcp_options(transport: asyncio.Transport) -> None:
-    # A peer behind a network partition never resets the connection.
-    sock = transport.get_extra_info('socket')
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-    )
--- a/src/jasmineramp/mesh/running_calls.py
+++ b/src/jasmineramp/mesh/running_calls.py
@@ -6,8 +6,11 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
+from jasmineramp.limits import CallOutcome
+from jasmineramp.mesh.calls import UpstreamCall
 from jasmineramp.table import MOST_IMPORTANCE
 
 # Upstreams name a call after the one that makes it, followed by this sign.
@@ -54,3 +57,34 @@
         return self.random.choices(
             tuple(self.counts), tuple(self.counts.values())
         )[0]
+
+
+class RunningCall:
+    """Hold a call while it runs; record its end, also when it is cancelled."""
+
+    def __init__(
+        self,
+        running_calls: RunningCalls,
+        call: UpstreamCall,
+        finish: Callable[[CallOutcome], None],
+    ) -> None:
+        self.running_calls = running_calls
+        self.call = call
+        self.finish = finish
+        self.origin = Origin(call.importance, call.is_repeat)
+        self.outcome = CallOutcome.cancelled
+
+    def __enter__(self) -> 'RunningCall':
+        self.running_calls.add(self.call.request_id, self.origin)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.running_calls.remove(self.call.request_id, self.origin)
+        self.finish(self.outcome)
+
+    def mark_repeat(self) -> None:
+        """Count the call, and those that it makes, as repeats."""
+        self.running_calls.remove(self.call.request_id, self.origin)
+        self.call.is_resent = self.call.is_repeat = True
+        self.origin = Origin(self.call.importance, is_repeat=True)
+        self.running_calls.add(self.call.request_id, self.origin)
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -28,7 +28,7 @@
 MAX_IDLE_MS = 4_000.0
 MAX_IDLE_CONNECTIONS = 256
 # A call is sent again within seconds, while its connection carries fewer.
-MAX_CARRIED_IDS = 256
+MAX_CARRIED_IDS = 64
 _CONTENT_LENGTH = b'content-length'
 _FRAMING_HEADERS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((204, 304))
