Do not bring back an absent node by an entry that others still name

Found in the read-through of the notices about owners, not seen in a run.

Cause: an entry that another node hands on ended the absence of its node, whatever its revision. A node that has left stayed a member until the next full list wherever a caller's node asked the owner before for a token.

Change: only an entry that is later than the known one is learned.

Test, before the change: test_known_entry_does_not_bring_back_an_absent_node (the node is still a member).

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -83,10 +83,11 @@
 
     def learn_entry(self, owner: BucketOwner) -> None:
         """Apply an entry that another node has sent before the store did."""
-        number = owner.item.revision
-        item = msgspec.structs.replace(
-            owner.item, revision=make_revision(owner.era, number)
-        )
+        revision = make_revision(owner.era, owner.item.revision)
+        if revision <= self.directory.revisions.get(owner.node, 0):
+            # The node may have left since.
+            return
+        item = msgspec.structs.replace(owner.item, revision=revision)
         self.apply_entries(self.directory.apply((item,), self.clock.now()))
 
     def _put_member(self, member: MemberEntry, now: Millis) -> None:
--- a/tests/mesh/test_fleet_view.py
+++ b/tests/mesh/test_fleet_view.py
@@ -18,6 +18,41 @@
 LATER_REVISION = Revision(1_000_000)
 
 
+class LearnedEntryTest(unittest.IsolatedAsyncioTestCase):
+    """Test an entry that comes from another node, not from the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(2)
+        self.addAsyncCleanup(self.fleet.close)
+        node, peer = self.fleet.nodes
+        self.view = node.fleet
+        self.now = node.clock.now()
+        self.name = peer.settings.node
+        owner = peer.registration.name_as_owner()
+        assert owner is not None
+        self.owner = owner
+
+    # Guards against a node that has left and stays a member, because others
+    # still name it.
+    def test_known_entry_does_not_bring_back_an_absent_node(self) -> None:
+        directory = self.view.directory
+        directory.replace_all((), Millis(self.now - ABSENCE_GRACE_MS))
+        self.view.learn_entry(self.owner)
+        self.view.expire()
+        self.assertNotIn(self.name, directory.members)
+        self.view.learn_entry(self.owner)
+        self.assertNotIn(self.name, directory.members)
+
+    def test_later_entry_is_learned(self) -> None:
+        directory = self.view.directory
+        directory.replace_all((), Millis(self.now - ABSENCE_GRACE_MS))
+        self.view.expire()
+        item = msgspec.structs.replace(self.owner.item, revision=LATER_REVISION)
+        self.view.learn_entry(msgspec.structs.replace(self.owner, item=item))
+        self.assertIn(self.name, directory.members)
+
+
 class LinkOfChangedMemberTest(unittest.IsolatedAsyncioTestCase):
     """Test two nodes; the first one runs a call at the second."""
 
