Run pipelined idempotent requests of a caller side by side

Cause: up to 16 requests of a connection were read ahead and run one after another, so a slow one used up the deadlines of those behind it, which moreover counted only from their start. An unusable request or a 17th waiting one closed the connection at once, without the answers to those before it.

Change: mesh/caller_pipeline.py decides, without a network, which requests of a connection start, which answer is written next and which one closes. The kind is that of the route; the connection asks the entry only when a second request is there, and admission refuses as not run a request whose kind a new table has changed in between. Requests behind an answer that closes count as not read; the last of those already started closes. Deadlines count from when the request was read. jasmineramp_pipelined counts both cases.

--- a/src/jasmineramp/mesh/caller_admission.py
+++ b/src/jasmineramp/mesh/caller_admission.py
@@ -76,11 +76,22 @@
             return Failure(
                 RefusalCode.request_malformed, RunState.not_run, 'no request id'
             )
-        target = request.target.decode('latin-1')
-        route = table.find(head.host, target.partition('?')[0])
+        route = _find_route(table, request, head)
         if route is None:
             return self._deny(RefusalCode.route_unknown, received)
-        deadline = _deadline_of(route, head, received)
+        if (
+            request.kind is CallKind.idempotent
+            and route.kind is not CallKind.idempotent
+        ):
+            # Others of its connection may run beside it.
+            return not_run_failure(
+                RefusalCode.configuration_missing,
+                'the kind of the route has just changed',
+            )
+        request.kind = route.kind
+        deadline = _deadline_of(
+            route, head, later(received, -request.waited_ms)
+        )
         if deadline.earliest() > self.latest_end:
             if not self._is_made_by_running_call(head):
                 return not_run_failure(
@@ -104,6 +115,17 @@
             received=received,
         )
 
+    def is_idempotent(self, request: CallerRequest, head: CallHead) -> bool:
+        """Return whether a request is one of an idempotent route.
+
+        The kind is stored with the request, so that `admit` notices a change
+        of the table in between.
+        """
+        if request.kind is None and self.table is not None:
+            route = _find_route(self.table, request, head)
+            request.kind = None if route is None else route.kind
+        return request.kind is CallKind.idempotent
+
     def _is_made_by_running_call(self, head: CallHead) -> bool:
         """Return whether the id names a call that runs at the upstream."""
         return self.running_calls.find_parent(head.request_id) is not None
@@ -200,6 +222,13 @@
         return origin
 
 
+def _find_route(
+    table: RouteTable, request: CallerRequest, head: CallHead
+) -> RouteRow | None:
+    target = request.target.decode('latin-1')
+    return table.find(head.host, target.partition('?')[0])
+
+
 def _deadline_of(route: RouteRow, head: CallHead, received: Millis) -> Deadline:
     caller_timeout_ms = head.deadline_ms
     if caller_timeout_ms is None:
--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -1,13 +1,14 @@
 """Serve HTTP/1.1 to callers on the event loop."""
 
 import asyncio
-from collections import deque
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import httptools
 
 from jasmineramp.clock import MILLIS_PER_SECOND
+from jasmineramp.mesh.caller_pipeline import PendingRequest, Pipeline
 from jasmineramp.mesh.calls import CallerRequest, Headers
 from jasmineramp.mesh.receive_limits import (
     DEFAULT_MEMORY_BYTES,
@@ -22,8 +23,6 @@
 )
 from jasmineramp.mesh.route_table import CallerLimits
 
-# Requests that a caller may queue on one connection.
-MAX_PIPELINED_REQUESTS = 16
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 # A caller sends its first request right after connecting, and it is reset if
@@ -55,6 +54,8 @@
 
 
 Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
+# Tells whether a request may run beside others of its connection.
+KindReader = Callable[[CallerRequest], bool]
 
 
 class OpenRequests:
@@ -78,14 +79,17 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         budget: ReceiveBudget | None = None,
+        is_idempotent: KindReader | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.is_idempotent = is_idempotent or _is_never_idempotent
         self.budget = budget or ReceiveBudget(
             limits_for(DEFAULT_MEMORY_BYTES).total_bytes
         )
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
+        self.pipelined: Counter[str] = Counter()
         self.open_requests = OpenRequests()
         self.server: asyncio.Server | None = None
 
@@ -131,15 +135,16 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.parser = httptools.HttpRequestParser(self)
-        self.queue: deque[tuple[CallerRequest, bool]] = deque()
-        self.task: asyncio.Task[None] | None = None
+        self.pipeline: Pipeline[CallerRequest, CallerResponse] = Pipeline(
+            server.is_idempotent, _body_bytes, server.pipelined
+        )
+        self.tasks: set[asyncio.Task[None]] = set()
         self.is_closed = False
-        self.is_rejected = False
         self.timeout_started = self.loop.time()
         self.has_begun_request = False
         self.buffer = MessageBuffer(MAX_BODY_BYTES)
         self.reservation = Reservation(server.budget)
-        # Bodies of the queued requests and the one in progress.
+        # Bodies of the queued requests and those in progress.
         self.queued_bytes = 0
         self._reset()
 
@@ -157,7 +162,7 @@
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in progress."""
+        """Cancel the requests in progress."""
         self._abandon()
         self.reservation.release()
         # Breaks the reference cycle with the parser, so that the connection is
@@ -171,7 +176,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed and oversized requests."""
-        if self.is_rejected:
+        if self.pipeline.is_complete:
             return
         if self.is_reading_body:
             self.buffer.received_bytes += len(data)
@@ -227,19 +232,18 @@
         """Queue the request behind earlier ones of the connection."""
         self.is_reading_body = False
         self.timeout_started = self.loop.time()
-        if len(self.queue) >= MAX_PIPELINED_REQUESTS:
-            self._reject(HTTPStatus.BAD_REQUEST)
-            return
         request = CallerRequest(
             self.parser.get_method(),
             self.target,
             self.headers,
             self.buffer.take_body(),
+            read_at=self.loop.time(),
         )
-        self.queued_bytes += len(request.body)
-        self.queue.append((request, self.parser.should_keep_alive()))
-        if self.task is None:
-            self._start_next()
+        if self.pipeline.add(
+            request, closes=not self.parser.should_keep_alive()
+        ):
+            self.queued_bytes += len(request.body)
+            self._start_requests()
 
     def is_idle(self) -> bool:
         """Return whether no request is in progress or expected soon."""
@@ -249,7 +253,7 @@
 
     def is_busy(self) -> bool:
         """Return whether a request is queued or in progress."""
-        return self.task is not None or bool(self.queue)
+        return bool(self.pipeline.pending)
 
     def is_reading_request(self) -> bool:
         """Return whether a request has been received only in part."""
@@ -268,7 +272,7 @@
         The idle timeout also applies between the pieces of a body and to a
         response that the caller does not read.
         """
-        if self.task is not None:
+        if self.tasks:
             return
         limit_ms = (
             limits.header_timeout_ms
@@ -299,26 +303,47 @@
         ):
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _start_next(self) -> None:
-        request, keep_alive = self.queue.popleft()
-        self.task = self.loop.create_task(self._answer(request, keep_alive))
+    def _start_requests(self) -> None:
+        for pending in self.pipeline.take_startable():
+            task = self.loop.create_task(self._answer(pending))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
-    async def _answer(self, request: CallerRequest, keep_alive: bool) -> None:
+    async def _answer(
+        self, pending: PendingRequest[CallerRequest, CallerResponse]
+    ) -> None:
+        request = pending.request
+        if request is None:
+            return
+        request.waited_ms = (
+            self.loop.time() - request.read_at
+        ) * MILLIS_PER_SECOND
         with self.server.open_requests:
             response = await self.server.handler(request)
-        self.task = None
         self.timeout_started = self.loop.time()
         self.queued_bytes -= len(request.body)
         if not self.queued_bytes and not self.is_reading_body:
             self.reservation.release()
         if self.is_closed:
             return
-        keep_alive = keep_alive and not self.server.is_draining
-        self._write(response, keep_alive, head_only=request.method == b'HEAD')
-        if not keep_alive:
+        self.pipeline.finish(pending, response, closes=self.server.is_draining)
+        self._write_responses()
+
+    def _write_responses(self) -> None:
+        pipeline = self.pipeline
+        writable = pipeline.take_writable()
+        last = len(writable) - 1
+        for position, (pending, response) in enumerate(writable):
+            request = pending.request
+            self._write(
+                response,
+                not (position == last and pipeline.is_finished()),
+                head_only=request is not None and request.method == b'HEAD',
+            )
+        if pipeline.is_finished():
             self.transport.close()
-        elif self.queue:
-            self._start_next()
+        else:
+            self._start_requests()
 
     def _write(
         self, response: CallerResponse, keep_alive: bool, *, head_only: bool
@@ -335,21 +360,27 @@
         self.transport.write(head if head_only else head + response.body)
 
     def _reject(self, status: HTTPStatus) -> None:
-        if self.is_rejected:
+        if self.pipeline.is_complete:
             return
-        self.is_rejected = True
-        if self.task is None:
-            response = CallerResponse(status, [])
-            if status is HTTPStatus.SERVICE_UNAVAILABLE:
-                response.headers.append(_RETRY_AFTER)
-            self._write(response, False, head_only=False)
-        self.transport.close()
+        response = CallerResponse(status, [])
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            response.headers.append(_RETRY_AFTER)
+        self.pipeline.reject(response)
+        self._write_responses()
 
     def _abandon(self) -> None:
         if self.is_closed:
             return
         self.is_closed = True
-        self.queue.clear()
+        self.pipeline.clear()
         self.server.connections.discard(self)
-        if self.task is not None:
-            self.task.cancel()
+        for task in self.tasks:
+            task.cancel()
+
+
+def _is_never_idempotent(_request: CallerRequest) -> bool:
+    return False
+
+
+def _body_bytes(response: CallerResponse) -> int:
+    return len(response.body)
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -16,13 +16,28 @@
 MIN_SERVER_ERROR = 500
 
 
+class CallKind(enum.Enum):
+    """Define whether a call may run more than once."""
+
+    idempotent = 'idempotent'
+    once = 'once'
+
+
 class CallerRequest(msgspec.Struct, gc=False):
-    """Hold a complete request as read from a caller's connection."""
+    """Hold a complete request as read from a caller's connection.
+
+    `read_at` is a time of the event loop in seconds. `waited_ms` is how long
+    the request then waited for earlier ones of its connection. `kind` is None
+    until the route is looked up.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    read_at: float = 0
+    waited_ms: float = 0
+    kind: CallKind | None = None
 
 
 class CallHead(msgspec.Struct, gc=False):
@@ -121,13 +136,6 @@
     instance: str
 
 
-class CallKind(enum.Enum):
-    """Define whether a call may run more than once."""
-
-    idempotent = 'idempotent'
-    once = 'once'
-
-
 def not_run_failure(
     code: RefusalCode,
     detail: str = '',
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -104,6 +104,11 @@
             )
         return self.responder.respond(head, admitted, result, received)
 
+    def is_idempotent(self, request: CallerRequest) -> bool:
+        """Return whether a request may run beside others of its connection."""
+        head = self.dialect.read_request(request)
+        return self.admission.is_idempotent(request, head)
+
     async def _run(self, admitted: AdmittedCall) -> CallResult:
         """Send the call until it has a final result."""
         while True:
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -64,6 +64,11 @@
             'Responses cut off by exceeded bound.',
             metrics.cut_answers,
         ),
+        (
+            'pipelined',
+            'Pipelined requests that ran beside others or were not read.',
+            metrics.pipelined,
+        ),
     ):
         family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
         for label, count in counter.items():
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -170,8 +170,12 @@
         self.directory_watch.is_following = self.relay.is_following
         self.directory_watch.is_candidate = self.relay.is_candidate
         self.caller_server = CallerServer(
-            self.entry.handle, self._caller_limits, self.receive_budget
+            self.entry.handle,
+            self._caller_limits,
+            self.receive_budget,
+            self.entry.is_idempotent,
         )
+        self.caller_server.pipelined = self.metrics.pipelined
         self.announcement_server = CallerServer(
             self.local_upstream.handle_announcement, self._caller_limits
         )
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -65,6 +65,7 @@
         self.failures_by_code: Counter[str] = Counter()
         self.repeats: Counter[str] = Counter()
         self.cut_answers: Counter[str] = Counter()
+        self.pipelined: Counter[str] = Counter()
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/tests/mesh/test_caller_admission.py
+++ b/tests/mesh/test_caller_admission.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from jasmineramp.clock import Millis
 from jasmineramp.ids import Revision, RowName, ServiceName, WorkspaceId
 from jasmineramp.mesh.admitted_call import AdmittedCall
@@ -122,3 +124,19 @@
         refusal = await self.admit('a1.b2', b'/none/1')
         assert isinstance(refusal, Failure)
         self.assertEqual(refusal.code, RefusalCode.route_unknown)
+
+    # Guards against a call that may run only once beside others of its
+    # connection, because the table changed after its kind was looked up.
+    async def test_changed_kind_of_a_pipelined_request_is_refused(self) -> None:
+        self.admission.is_refusing = False
+        request = CallerRequest(b'GET', b'/inner/1', [], b'', waited_ms=50)
+        head = CallHead('b2', 200, '', HOST, [])
+        self.assertTrue(self.admission.is_idempotent(request, head))
+        admitted = await self.admission.admit(request, head, NOW)
+        assert isinstance(admitted, AdmittedCall)
+        self.assertEqual(admitted.deadline.earliest(), NOW + 150)
+        route = msgspec.structs.replace(ROUTE, kind=CallKind.once)
+        self.admission.table = RouteTable(Revision(2), 'v2', routes=(route,))
+        refusal = await self.admission.admit(request, head, NOW)
+        assert isinstance(refusal, Failure)
+        self.assertIs(refusal.run, RunState.not_run)
--- a/tests/mesh/test_caller_http.py
+++ b/tests/mesh/test_caller_http.py
@@ -201,3 +201,92 @@
             await reader.readuntil(b'done')
             self.server.close_idle()
             self.assertEqual(await reader.read(), b'')
+
+
+class PipeliningTest(unittest.IsolatedAsyncioTestCase):
+    """Test requests that a caller sends before the first is answered."""
+
+    async def asyncSetUp(self) -> None:
+        self.gates: dict[bytes, asyncio.Event] = {}
+        self.cancelled: list[bytes] = []
+        self.waited_ms: dict[bytes, float] = {}
+        self.server = CallerServer(
+            self.handle,
+            CallerLimits,
+            is_idempotent=lambda request: request.method == b'GET',
+        )
+        await self.server.listen(HOST, 0)
+        self.addCleanup(self.server.stop)
+        assert self.server.server is not None
+        port = self.server.server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection(HOST, port)
+        self.addCleanup(self.writer.close)
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Answer once the test says so."""
+        gate = self.gates[request.target] = asyncio.Event()
+        self.waited_ms[request.target] = request.waited_ms
+        try:
+            await gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return CallerResponse(200, [], request.target)
+
+    async def send(self, *lines: bytes, count: int) -> None:
+        """Send requests and wait until this many run or have run."""
+        for line in lines:
+            self.writer.write(line + b' HTTP/1.1\r\nHost: a\r\n\r\n')
+        async with asyncio.timeout(DEADLINE_S):
+            while len(self.gates) < count:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.02)
+        self.assertEqual(len(self.gates), count)
+
+    async def read_all(self) -> list[bytes]:
+        """Read to the end; return the target that each response names."""
+        async with asyncio.timeout(DEADLINE_S):
+            content = await self.reader.read()
+        self.assertEqual(content.count(b'Connection: close'), 1)
+        return [
+            part.partition(b'\r\n\r\n')[2]
+            for part in content.split(b'HTTP/1.1 ')[1:]
+        ]
+
+    async def test_other_request_waits_and_its_wait_is_counted(self) -> None:
+        await self.send(b'GET /1', b'GET /2', b'POST /3', b'GET /4', count=2)
+        self.gates[b'/2'].set()
+        await asyncio.sleep(0.1)
+        self.gates[b'/1'].set()
+        await self.send(count=3)
+        self.assertGreater(self.waited_ms[b'/3'], 100)
+        self.gates[b'/3'].set()
+        await self.send(count=4)
+        self.server.drain()
+        self.gates[b'/4'].set()
+        self.assertEqual(await self.read_all(), [b'/1', b'/2', b'/3', b'/4'])
+
+    # Guards against answers cut off by a broken request behind them.
+    async def test_answers_before_a_broken_request_go_out(self) -> None:
+        await self.send(b'GET /1', b'GET /2', b'\0', count=2)
+        self.gates[b'/2'].set()
+        self.gates[b'/1'].set()
+        self.assertEqual(await self.read_all(), [b'/1', b'/2', b''])
+
+    # Guards against requests passed on behind an answer that closes.
+    async def test_last_started_request_closes(self) -> None:
+        await self.send(b'GET /1', b'GET /2', b'POST /3', count=2)
+        self.server.drain()
+        self.gates[b'/1'].set()
+        await self.send(b'GET /4', count=2)
+        self.gates[b'/2'].set()
+        self.assertEqual(await self.read_all(), [b'/1', b'/2'])
+        self.assertNotIn(b'/3', self.gates)
+
+    async def test_disconnect_cancels_all(self) -> None:
+        await self.send(b'GET /1', b'GET /2', b'POST /3', count=2)
+        self.writer.close()
+        async with asyncio.timeout(DEADLINE_S):
+            while len(self.cancelled) < 2:
+                await asyncio.sleep(0.01)
+        self.assertNotIn(b'/3', self.gates)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -198,6 +198,29 @@
             lambda: sum(each.cancelled for each in self.fleet.upstreams) == 1
         )
 
+    # Guards against pipelined requests that wait for each other although their
+    # routes are idempotent, and against others that do not wait.
+    async def test_pipelined_calls_run_by_the_kind_of_their_route(self) -> None:
+        self.set_handler(self.hang)
+        _, writer = await asyncio.open_connection(
+            *self.fleet.nodes[0].settings.outbound
+        )
+        for number, path in enumerate(('read/1', 'read/2', 'buy/1', 'read/3')):
+            writer.write(
+                f'GET /{path} HTTP/1.1\r\nHost: a.example\r\n'
+                f'X-Jasmineramp-Request-Id: id-{number}\r\n'
+                f'X-Jasmineramp-Credential: {KEY}\r\n\r\n'.encode()
+            )
+        await self.fleet.until(
+            lambda: bool(self.count_runs('id-0') and self.count_runs('id-1'))
+        )
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.count_runs('id-2') or self.count_runs('id-3'))
+        writer.close()
+        await self.fleet.until(
+            lambda: sum(each.cancelled for each in self.fleet.upstreams) == 2
+        )
+
     async def test_calls_are_cancelled_when_the_caller_disconnects(
         self,
     ) -> None:
