Spend scarce repeats on requests with the most answered calls

Cause: when all instances of a service reject 55% of their arrivals, repeats were spent evenly on requests that need four to eight calls to it, so few of them completed.

Change: the entry node of a call counts the answered calls of the running call that makes it and passes the count on (UpstreamCall.progress, last field, default 0). While more than 0.4 of the latest repeats find no credit, RetryBudget and RepeatBudget leave the last part of the credit to calls with more progress. Credit is only withheld, so the totals stay bounded as before. Beside the instance the importance comes first, and the share without credit is counted for each importance.

--- a/src/jasmineramp/mesh/caller_admission.py
+++ b/src/jasmineramp/mesh/caller_admission.py
@@ -202,6 +202,9 @@
             int(origin is not None),
             route.kind is CallKind.idempotent,
             is_repeat=origin is not None and origin.is_repeat,
+            progress=0
+            if origin is None
+            else self.running_calls.find_progress(head.request_id),
         )
         wait_until = later(received, _max_wait_ms(route))
         return AdmittedCall(route, service, deadline, call, wait_until)
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -14,6 +14,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 MIN_SERVER_ERROR = 500
+# More answered calls of a request are not counted.
+MAX_PROGRESS = 64
 
 
 class CallKind(enum.Enum):
@@ -63,6 +65,7 @@
     running. `max_wait_ms` limits the time in the queue of the upstream.
     `is_resent` tells that an instance may have received the call before,
     `is_repeat` that this holds for it or for the call that makes it.
+    `progress` counts the calls that were answered for the same request before.
     """
 
     request_id: str
@@ -84,6 +87,7 @@
     max_wait_ms: DurationMs = MAX_QUEUE_WAIT_MS
     is_resent: bool = False
     is_repeat: bool = False
+    progress: Count = 0
 
 
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -89,6 +89,8 @@
             result = await self._run(admitted)
             call = admitted.upstream_call
             if call.hop:
+                if isinstance(result, Answer) and not result.is_server_error():
+                    self.gate.running_calls.count_answer(call.request_id)
                 self.gate.pressure.record(
                     call.importance,
                     was_refused=was_refused_for_load(
@@ -167,10 +169,7 @@
                 has_other
                 and not result.is_for_all
                 and admitted.redirects <= MAX_REDIRECTS
-                and (
-                    not result.may_have_arrived
-                    or self.retry_budget.take(admitted.service)
-                )
+                and (not result.may_have_arrived or self._take_retry(admitted))
             ):
                 return None
             return admitted.first_result or result
@@ -197,6 +196,7 @@
             detail=detail,
             sends=admitted.failed_attempts,
             redirects=admitted.redirects,
+            progress=admitted.upstream_call.progress,
             credit=self.retry_budget.credit.get(admitted.service),
         )
 
@@ -209,7 +209,12 @@
             and admitted.deadline.earliest() - self.clock.now()
             > MIN_REMAINING_MS
             and self._has_other(admitted)
-            and self.retry_budget.take(admitted.service)
+            and self._take_retry(admitted)
+        )
+
+    def _take_retry(self, admitted: AdmittedCall) -> bool:
+        return self.retry_budget.take(
+            admitted.service, admitted.upstream_call.progress
         )
 
     def _has_other(self, admitted: AdmittedCall) -> bool:
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -214,7 +214,7 @@
             self.repeat_budget.count_first()
         elif not call.is_resent:
             self.repeat_budget.charge()
-        elif not self.repeat_budget.take(call.importance):
+        elif not self.repeat_budget.take(call.importance, call.progress):
             return Failure(
                 RefusalCode.overloaded,
                 RunState.not_run,
@@ -324,7 +324,7 @@
         return (
             call.is_idempotent
             and self.record.is_ready()
-            and self.repeat_budget.take(call.importance)
+            and self.repeat_budget.take(call.importance, call.progress)
         )
 
     def _fail_exchange(self, call: UpstreamCall, error: Exception) -> Failure:
--- a/src/jasmineramp/mesh/retry_budget.py
+++ b/src/jasmineramp/mesh/retry_budget.py
@@ -4,8 +4,14 @@
 a repeated call repeats the calls that it makes. So the node beside an instance
 enforces it on what arrives there, with an equal part of the slack. The nodes
 that send keep a budget of their own, so that they rarely ask in vain.
+
+Load handled: all instances of a service reject part of their arrivals, and each
+request needs several calls to it. While many repeats find no credit, the last
+part of it is left to the requests with the most answered calls.
 """
 
+from collections import defaultdict
+
 from jasmineramp.ids import ServiceName
 from jasmineramp.table import MOST_IMPORTANCE
 
@@ -19,6 +25,38 @@
 TOP_IMPORTANCE = MOST_IMPORTANCE - 1
 # Part of the credit beyond 1 that each lower importance leaves to the higher.
 RESERVE_PER_LEVEL = 0.5
+# Part that a call without progress leaves to others; within one level.
+RESERVE_FOR_PROGRESS = 0.5
+# The same in the budget of a node that sends, as credit.
+SEND_RESERVE_FOR_PROGRESS = 3
+# Answered calls from which on a call leaves nothing. Requests need four to
+# eight calls of the services that reject.
+FULL_PROGRESS = 4
+# Below this share of repeats without credit, a reserve loses more requests than
+# it saves, because each request that goes on adds credit with its next calls.
+SCARCE_REFUSED_SHARE = 0.4
+# Weight of the latest repeat in that share.
+REFUSED_SHARE_WEIGHT = 1 / 16
+
+
+class Scarcity:
+    """Track the share of the latest repeats that found no credit."""
+
+    __slots__ = ('refused_share',)
+
+    def __init__(self) -> None:
+        self.refused_share = float(0)
+
+    def record(self, *, was_refused: bool) -> None:
+        """Count a repeat that was asked for."""
+        change = was_refused - self.refused_share
+        self.refused_share += change * REFUSED_SHARE_WEIGHT
+
+    def reserved_part(self, progress: int) -> float:
+        """Return the part of the reserve that a call leaves to others."""
+        if self.refused_share <= SCARCE_REFUSED_SHARE:
+            return 0
+        return max(0, 1 - progress / FULL_PROGRESS)
 
 
 class RepeatBudget:
@@ -34,6 +72,9 @@
         self.slack = slack * USABLE_SLACK
         self.max_credit = float(MIN_MAX_CREDIT)
         self.credit = float('inf')
+        # By importance: that the less important find no credit is no reason
+        # for the more important to leave more.
+        self.scarcity: defaultdict[int, Scarcity] = defaultdict(Scarcity)
         self.set_instances(1)
 
     def set_instances(self, count: int) -> None:
@@ -53,14 +94,20 @@
         """
         self.credit = max(-MAX_CREDIT, self.credit - 1)
 
-    def take(self, importance: int) -> bool:
+    def take(self, importance: int, progress: int = 0) -> bool:
         """Spend credit on a call sent again; return False without credit."""
+        scarcity = self.scarcity[importance]
         levels = max(0, TOP_IMPORTANCE - importance)
-        reserve = (self.max_credit - 1) * min(1, RESERVE_PER_LEVEL * levels)
-        if self.credit < 1 + reserve:
-            return False
-        self.credit -= 1
-        return True
+        reserved_part = (
+            RESERVE_PER_LEVEL * levels
+            + RESERVE_FOR_PROGRESS * scarcity.reserved_part(progress)
+        )
+        reserve = (self.max_credit - 1) * min(1, reserved_part)
+        was_refused = self.credit < 1 + reserve
+        scarcity.record(was_refused=was_refused)
+        if not was_refused:
+            self.credit -= 1
+        return not was_refused
 
 
 class RetryBudget:
@@ -71,6 +118,9 @@
         self.slack = slack
         self.nodes = 1
         self.credit: dict[ServiceName, float] = {}
+        self.scarcity: defaultdict[ServiceName, Scarcity] = defaultdict(
+            Scarcity
+        )
 
     def set_nodes(self, count: int) -> None:
         """Set the number of nodes among which the slack is divided."""
@@ -83,15 +133,18 @@
             credit = self._initial_credit()
         self.credit[service] = min(MAX_CREDIT, credit + self.credit_per_send)
 
-    def take(self, service: ServiceName) -> bool:
+    def take(self, service: ServiceName, progress: int = 0) -> bool:
         """Spend credit on one repeat; return False if there is too little."""
         credit = self.credit.get(service)
         if credit is None:
             credit = self._initial_credit()
-        if credit < 1:
-            return False
-        self.credit[service] = credit - 1
-        return True
+        scarcity = self.scarcity[service]
+        reserve = SEND_RESERVE_FOR_PROGRESS * scarcity.reserved_part(progress)
+        was_refused = credit < 1 + reserve
+        scarcity.record(was_refused=was_refused)
+        if not was_refused:
+            self.credit[service] = credit - 1
+        return not was_refused
 
     def _initial_credit(self) -> float:
         return min(1, self.slack / self.nodes)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -221,6 +221,31 @@
             lambda: sum(each.cancelled for each in self.fleet.upstreams) == 2
         )
 
+    # Guards against progress that does not reach the node beside the instance.
+    async def test_progress_of_a_chain_travels_with_its_calls(self) -> None:
+        progress: dict[str, int] = {}
+
+        async def make_calls(request: CallerRequest) -> CallerResponse:
+            for number, node in enumerate(self.fleet.nodes):
+                for call, count in node.gate.running_calls.progress.items():
+                    progress.setdefault(call, count)
+                if call_id in node.gate.running_calls.origins and (
+                    request.target == b'/buy/1'
+                ):
+                    for each in range(3):
+                        await self.fleet.call(
+                            number, '/inner/1', f'{call_id}.{each}', key=''
+                        )
+            return CallerResponse(200, [])
+
+        call_id = 'id-1'
+        self.set_handler(make_calls)
+        status, _, _ = await self.fleet.call(0, '/buy/1', call_id)
+        self.assertEqual(status, 200)
+        self.assertEqual(
+            progress, {'id-1': 0, 'id-1.0': 0, 'id-1.1': 1, 'id-1.2': 2}
+        )
+
     async def test_calls_are_cancelled_when_the_caller_disconnects(
         self,
     ) -> None:
--- a/tests/mesh/test_peer_messages.py
+++ b/tests/mesh/test_peer_messages.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from jasmineramp.ids import RowName, ServiceName, WorkspaceId
+from jasmineramp.mesh.calls import UpstreamCall
 from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.peer_messages import (
+    RunRequest,
     UpdateReply,
     UpdateRequest,
     decode_frame,
@@ -33,6 +36,23 @@
         self.assertEqual(fields, [10, 1, 30, 31, 2, 3])
 
 
+class CallProgressTest(unittest.TestCase):
+    """Frames of the release without progress are read as of no progress."""
+
+    def test_call_without_progress(self) -> None:
+        call = UpstreamCall(
+            'id-1', b'GET', b'/', [], b'', 1.5, RowName('r'), WorkspaceId(''),
+            ServiceName('a'), ServiceName('b'), '', 4, 1, True, progress=7,
+        )  # fmt: skip
+        frame = encode_frame(RunRequest(1, call))[LENGTH_PREFIX_BYTES:]
+        self.assertEqual(decode_frame(frame), RunRequest(1, call))
+        tag, stream, fields = msgspec.msgpack.decode(frame)
+        self.assertEqual(fields.pop(), 7)
+        earlier = decode_frame(msgspec.msgpack.encode([tag, stream, fields]))
+        call.progress = 0
+        self.assertEqual(earlier, RunRequest(1, call))
+
+
 class CallStreamTest(unittest.TestCase):
     """Test the start of a call whose rest is dropped."""
 
--- a/tests/mesh/test_running_calls.py
+++ b/tests/mesh/test_running_calls.py
@@ -4,6 +4,7 @@
 import unittest
 from collections import Counter
 
+from jasmineramp.mesh.calls import MAX_PROGRESS
 from jasmineramp.mesh.running_calls import Origin, RunningCalls
 from jasmineramp.table import MOST_IMPORTANCE
 
@@ -41,3 +42,17 @@
         self.assertEqual(self.calls.choose_origin(), BROWSE)
         self.calls.remove('b1', BROWSE)
         self.assertEqual(self.calls.choose_origin(), Origin(MOST_IMPORTANCE))
+
+    # Guards against progress that is lost on the way, grows without bound or
+    # outlives its call.
+    def test_answers_count_for_the_call_that_an_id_names(self) -> None:
+        self.calls.add('a1', ORDER, 3)
+        self.calls.count_answer('a1.b2')
+        self.calls.count_answer('a2.b2')
+        self.assertEqual(self.calls.find_progress('a1.x9'), 4)
+        self.assertEqual(self.calls.find_progress('a2.x9'), 0)
+        for _ in range(MAX_PROGRESS):
+            self.calls.count_answer('a1.b2')
+        self.assertEqual(self.calls.find_progress('a1.x9'), MAX_PROGRESS)
+        self.calls.remove('a1', ORDER)
+        self.assertEqual(self.calls.progress, {})
