Evacuate failure domains on a key of the operators

A failure domain could only be taken out of use by stopping its instances. While op/evacuate/ZONE exists, senders now leave the domain out of routing and the nodes beside its instances refuse calls as not run; a reply tells the sender, so that a node that is cut off from the news tries other domains only. Where terms.bounds.evac is set, one linearizable range read of op/ replaces the read of op/config. The relay passes the evacuations on with the table, and a node that connects to another tells it in its first frame. A key that a restored store lacks stays in force until the operators write in that era. A process refuses the calls of peers until it knows.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -236,6 +236,7 @@
                     load,
                     self.gate.pressure.is_starved(),
                     self.gate.has_room(load),
+                    self.gate.is_evacuated(),
                 )
             else:
                 outcome = await run_at_peer(
@@ -243,6 +244,11 @@
                 )
             observation.load = outcome.load
             observation.outcome = outcome_of(outcome.result)
+        if outcome.is_evacuated:
+            # This node may not have learned it yet.
+            admitted.excluded |= routing.nodes_in_domain(
+                self.routes, admitted.service, instance.domain
+            )
         admitted.is_starved = outcome.is_starved
         admitted.had_room = outcome.has_room
         return outcome.result
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -11,6 +11,7 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory import Directory, MemberEntry
 from jasmineramp.mesh.entry import Entry
+from jasmineramp.mesh.evacuation_control import EvacuationControl
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import BucketOwner, StateChanged
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
@@ -27,8 +28,11 @@
         quotas: FleetQuotaClient,
         log: DecisionLog,
         clock: Clock,
+        *,
+        evacuations: EvacuationControl,
     ) -> None:
         self.node = node
+        self.evacuations = evacuations
         self.entry = entry
         self.routes = entry.routes
         self.links = entry.links
@@ -120,6 +124,7 @@
             self._on_peer_state,
             self._on_peer_change,
             departed_at=self.directory.departed_at,
+            evacuations=self.evacuations.known,
         )
 
     def _retire_link(self, node: NodeId) -> int:
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -26,6 +26,7 @@
 )
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
+from jasmineramp.mesh.evacuations import DomainState
 from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.retry_budget import RepeatBudget
 from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
@@ -84,6 +85,7 @@
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
         self.call_ids = itertools.count()
         self.is_node_stopping = False
+        self.domain_state = DomainState.open
 
     def resize(self, slots: int) -> None:
         """Set the number of slots that the upstream announced."""
@@ -91,6 +93,20 @@
             admission.resize(self.admission, slots, None, self.clock.now())
         )
 
+    def set_domain_state(self, state: DomainState) -> None:
+        """Refuse queued and new calls unless the failure domain is open."""
+        if state is self.domain_state:
+            return
+        self.domain_state = state
+        if state is not DomainState.open:
+            self.drain()
+        elif self.record.current is not None and self.record.is_ready():
+            self.resize(self.record.current.slots)
+
+    def is_evacuated(self) -> bool:
+        """Return whether the operators have evacuated the domain."""
+        return self.domain_state is DomainState.evacuated
+
     def drain(self) -> None:
         """Refuse queued and new calls; running calls finish."""
         self._apply(admission.drain(self.admission))
@@ -114,7 +130,7 @@
             queued + excess_calls,
             admission.capacity(state),
             admission.shed_level(state, self.clock.now()),
-            self.accepts_calls(),
+            self.accepts_calls() and self.domain_state is DomainState.open,
         )
 
     def accepts_calls(self) -> bool:
@@ -197,6 +213,12 @@
             return not_run_failure(
                 RefusalCode.draining, 'upstream does not accept calls'
             )
+        if self.domain_state is not DomainState.open:
+            self.metrics.domain_refusals[self.domain_state.value] += 1
+            return not_run_failure(
+                RefusalCode.draining,
+                f'failure domain is {self.domain_state.value}',
+            )
         if current.service != call.service:
             return not_run_failure(
                 RefusalCode.no_upstream, 'upstream is of another service'
@@ -324,6 +346,7 @@
         return (
             call.is_idempotent
             and self.record.is_ready()
+            and self.domain_state is DomainState.open
             and self.repeat_budget.take(call.importance)
         )
 
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -64,6 +64,11 @@
             'Responses cut off by exceeded bound.',
             metrics.cut_answers,
         ),
+        (
+            'domain_refusals',
+            'Calls refused by state of the failure domain.',
+            metrics.domain_refusals,
+        ),
     ):
         family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
         for label, count in counter.items():
@@ -99,6 +104,12 @@
     for importance, admitted in gauges.admitted_share.items():
         share.add_metric((str(importance),), admitted)
     yield share
+    evacuated = GaugeMetricFamily(
+        f'{PREFIX}evacuated', 'Evacuated failure domains.', labels=('name',)
+    )
+    for domain in sorted(gauges.evacuated):
+        evacuated.add_metric((domain,), 1)
+    yield evacuated
     for name, gauge_value in (
         ('running', gauges.running),
         ('queued', gauges.queued),
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -19,6 +19,7 @@
 from jasmineramp.mesh.directory_watch import DirectoryWatch
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.entry import Entry
+from jasmineramp.mesh.evacuation_control import EvacuationControl
 from jasmineramp.mesh.fleet_view import FleetView
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.graceful_stop import GracefulStop
@@ -132,8 +133,22 @@
             log=log,
             clock=clock,
         )
+        self.evacuations = EvacuationControl(
+            settings.domain,
+            platform,
+            gate=self.gate,
+            routes=self.routes,
+            log=log,
+            clock=clock,
+        )
+        self.evacuations.set_bound(bounds.evac_ms)
         self.fleet = FleetView(
-            settings.node, self.entry, self.quotas, log, clock
+            settings.node,
+            self.entry,
+            self.quotas,
+            log,
+            clock,
+            evacuations=self.evacuations,
         )
         self.directory_watch = DirectoryWatch(
             store, self.fleet.directory, self.fleet.apply_entries, log, clock
@@ -146,6 +161,7 @@
             freshness=self.freshness,
             log=log,
             clock=clock,
+            evacuations=self.evacuations,
         )
         self.relay = Relay(
             settings.node,
@@ -153,6 +169,7 @@
             self.fleet.directory,
             table_watch=self.table_watch,
             directory_watch=self.directory_watch,
+            evacuations=self.evacuations,
             links=self.entry.links,
             clock=clock,
         )
@@ -162,6 +179,7 @@
             self.admission,
             quotas=self.quotas,
             relay=self.relay,
+            evacuations=self.evacuations,
             budget=self.receive_budget,
             log=log,
         )
@@ -213,7 +231,7 @@
         )
 
     def reload(self, settings: NodeSettings) -> None:
-        """Apply the apply, revoke and grace bounds and the service.
+        """Apply the apply, revoke, evac and grace bounds and the service.
 
         Addresses and the retry budget are fixed for the lifetime of the
         process.
@@ -224,6 +242,7 @@
         )
         self.freshness.apply_ms = bounds.apply_ms
         self.freshness.revoke_ms = bounds.revoke_ms
+        self.evacuations.set_bound(bounds.evac_ms)
         self.admission.service = settings.service
         self.log.write('settings_reloaded', service=settings.service)
 
@@ -312,6 +331,7 @@
             self.retry_budget.credit,
             self.gate.pressure.admitted_shares(),
             self.store.counts,
+            self.evacuations.evacuated(),
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from jasmineramp.ids import RowName, ServiceName
+from jasmineramp.ids import DomainId, RowName, ServiceName
 from jasmineramp.mesh.calls import Answer, CallResult
 from jasmineramp.refusals import RunState
 
@@ -55,6 +55,7 @@
     retry_credit: Mapping[ServiceName, float]
     admitted_share: Mapping[int, float]
     store_calls: Mapping[tuple[str, str], int]
+    evacuated: frozenset[DomainId] = frozenset()
 
 
 class NodeMetrics:
@@ -65,6 +66,7 @@
         self.failures_by_code: Counter[str] = Counter()
         self.repeats: Counter[str] = Counter()
         self.cut_answers: Counter[str] = Counter()
+        self.domain_refusals: Counter[str] = Counter()
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/mesh/node_settings.py
+++ b/src/jasmineramp/mesh/node_settings.py
@@ -15,7 +15,8 @@
     time until a withdrawn key stops working. drain_ms: longest time until a
     draining upstream gets no new calls; the node only reports it. grace_ms:
     from SIGTERM to SIGKILL. The retry ratio and slack limit the retries to a
-    service over all nodes.
+    service over all nodes. evac_ms: longest time until an evacuated failure
+    domain gets no calls; 0 if evacuations are not in use.
     """
 
     apply_ms: float = 2_000
@@ -24,6 +25,7 @@
     grace_ms: float = 6_000
     retry_ratio: float = 0.2
     retry_slack: float = 40
+    evac_ms: float = 0
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -47,6 +47,7 @@
     load: LoadReport | None = None
     is_starved: bool = False
     has_room: bool = False
+    is_evacuated: bool = False
 
 
 async def run_at_peer(
@@ -91,5 +92,9 @@
             )
         )
     return SendOutcome(
-        frame.result, frame.load, frame.is_starved, frame.has_room
+        frame.result,
+        frame.load,
+        frame.is_starved,
+        frame.has_room,
+        frame.is_evacuated,
     )
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -6,6 +6,7 @@
 
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.departures import Departed
+from jasmineramp.mesh.evacuations import EvacuationView
 from jasmineramp.mesh.frame_buffer import FrameBuffer
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
@@ -68,6 +69,10 @@
     return ()
 
 
+def _know_no_evacuations() -> EvacuationView | None:
+    """Know nothing of evacuated domains."""
+
+
 class PeerLink:
     """Maintain the outgoing connection to one peer and match its replies."""
 
@@ -80,6 +85,7 @@
         on_change: Callable[[NodeId, str], None],
         *,
         departed_at: Callable[[NodeId], tuple[Departed, ...]] = _know_none,
+        evacuations: Callable[[], EvacuationView | None] = _know_no_evacuations,
     ) -> None:
         self.local_node = local_node
         self.peer = peer
@@ -87,6 +93,7 @@
         self.on_state = on_state
         self.on_change = on_change
         self.departed_at = departed_at
+        self.evacuations = evacuations
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
         # One for each request that waits for the connection.
@@ -240,7 +247,10 @@
             self.on_change(self.peer, 'reconnected')
         connection.write(
             Hello(
-                self.local_node, PROTOCOL_VERSION, self.departed_at(self.peer)
+                self.local_node,
+                PROTOCOL_VERSION,
+                self.departed_at(self.peer),
+                self.evacuations(),
             )
         )
 
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -10,6 +10,7 @@
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.calls import Answer, Failure, UpstreamCall
 from jasmineramp.mesh.departures import Departed
+from jasmineramp.mesh.evacuations import EvacuationView
 from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.store import StoreItem
 from jasmineramp.mesh.store_revisions import Era, RevisionNumber
@@ -28,12 +29,14 @@
 class Hello(Frame, tag=1):
     """Identify the sender and its protocol version on a new connection.
 
-    `departed` are the departures at the receiver that the sender knows of.
+    `departed` are the departures at the receiver that the sender knows of,
+    `evacuations` the evacuated failure domains, None if it does not know.
     """
 
     node: NodeId
     version: int
     departed: tuple[Departed, ...] = ()
+    evacuations: EvacuationView | None = None
 
 
 class RunRequest(Frame, tag=2):
@@ -47,7 +50,8 @@
     """Return the result of a call and the load of the upstream.
 
     `is_starved` tells that calls which the upstream makes are being refused,
-    `has_room` that it has free slots and so have the services that it calls.
+    `has_room` that it has free slots and so have the services that it calls,
+    `is_evacuated` that all instances of its failure domain refuse calls.
     """
 
     stream: Count
@@ -55,6 +59,7 @@
     load: LoadReport
     is_starved: bool = False
     has_room: bool = False
+    is_evacuated: bool = False
 
 
 class Cancel(Frame, tag=4):
@@ -131,7 +136,8 @@
     The table is empty if the requested revision is current. `table_age_ms`
     is the time since the table was known to be the newest. The items are the
     changes since the requested revision, or all items if `is_full`. Their
-    revisions are numbers of `directory_era`.
+    revisions are numbers of `directory_era`. `evacuations` is None if the
+    sender does not read them.
     """
 
     stream: Count
@@ -144,6 +150,7 @@
     is_full: bool
     table_era: Era = 0
     directory_era: Era = 0
+    evacuations: EvacuationView | None = None
 
 
 PeerFrame = (
--- a/src/jasmineramp/mesh/peer_service.py
+++ b/src/jasmineramp/mesh/peer_service.py
@@ -9,6 +9,7 @@
     run_unknown_failure,
 )
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.evacuation_control import EvacuationControl
 from jasmineramp.mesh.instance_gate import InstanceGate
 from jasmineramp.mesh.own_upstream import LocalUpstream
 from jasmineramp.mesh.peer_messages import (
@@ -38,6 +39,7 @@
         *,
         quotas: FleetQuotaClient,
         relay: Relay,
+        evacuations: EvacuationControl,
         budget: ReceiveBudget,
         log: DecisionLog,
     ) -> None:
@@ -46,11 +48,14 @@
         self.admission = admission
         self.quotas = quotas
         self.relay = relay
+        self.evacuations = evacuations
         self.budget = budget
         self.log = log
 
     def greet_peer(self, session: PeerSession, frame: Hello) -> None:
         """Exchange what a peer that has just connected may not know yet."""
+        if frame.evacuations is not None:
+            self.evacuations.learn(frame.evacuations)
         self.local_upstream.greet_peer(session, frame.departed)
 
     def run_for_peer(
@@ -125,5 +130,6 @@
                 load,
                 self.gate.pressure.is_starved(),
                 self.gate.has_room(load),
+                self.gate.is_evacuated(),
             )
         )
--- a/src/jasmineramp/mesh/platform_binding.py
+++ b/src/jasmineramp/mesh/platform_binding.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from jasmineramp.ids import Revision
+from jasmineramp.ids import DomainId, Revision
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
@@ -36,10 +36,15 @@
     """Bind a node to the platform on which it runs."""
 
     table_key: str
+    # Of all keys that the operators write, the table's too.
+    operator_prefix: str
 
     def decode_table(self, value: bytes, revision: Revision) -> RouteTable:
         """Return the table; raise ValueError that names the invalid field."""
 
+    def read_evacuated_domain(self, key: str) -> DomainId | None:
+        """Return the failure domain of an evacuation, None for other keys."""
+
     def write_call(self, call: UpstreamCall, remaining_ms: float) -> bytes:
         """Return the encoded request for the upstream."""
 
--- a/src/jasmineramp/mesh/relay.py
+++ b/src/jasmineramp/mesh/relay.py
@@ -16,6 +16,7 @@
 from jasmineramp.ids import DomainId, NodeId, Revision
 from jasmineramp.mesh.directory import Directory
 from jasmineramp.mesh.directory_watch import DirectoryWatch
+from jasmineramp.mesh.evacuation_control import EvacuationControl
 from jasmineramp.mesh.peer_calls import ask_peer
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import UpdateReply, UpdateRequest
@@ -54,6 +55,7 @@
         *,
         table_watch: TableWatch,
         directory_watch: DirectoryWatch,
+        evacuations: EvacuationControl,
         links: dict[NodeId, PeerLink],
         clock: Clock,
     ) -> None:
@@ -62,6 +64,7 @@
         self.directory = directory
         self.table_watch = table_watch
         self.directory_watch = directory_watch
+        self.evacuations = evacuations
         self.links = links
         self.clock = clock
         self.domain_nodes: dict[DomainId, OwnerLookup] = {}
@@ -112,6 +115,7 @@
             is_full,
             era_of(table.revision),
             era_of(directory.revision),
+            self.evacuations.known(),
         )
 
     async def ask(self) -> bool:
@@ -186,8 +190,12 @@
             ),
             is_full=update.is_full,
         )
+        # A source of the previous release does not tell of evacuations.
+        has_evacuations = self.evacuations.learn(update.evacuations)
         if not has_table or update.table_age_ms > MAX_TABLE_AGE_MS:
             return False
+        if not has_evacuations:
+            return False
         self.last_reply = self.clock.now()
         return True
 
--- a/src/jasmineramp/mesh/table_watch.py
+++ b/src/jasmineramp/mesh/table_watch.py
@@ -6,9 +6,10 @@
 from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.ids import Revision
 from jasmineramp.mesh.decision_log import DecisionLog
+from jasmineramp.mesh.evacuation_control import EvacuationControl
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.route_table import RouteTable
-from jasmineramp.mesh.store import Store, StoreOutcome
+from jasmineramp.mesh.store import Store, StoreOutcome, StoreReply
 from jasmineramp.mesh.store_pauses import Backoff
 from jasmineramp.mesh.store_revisions import era_of, number_of
 
@@ -55,8 +56,10 @@
         freshness: Freshness,
         log: DecisionLog,
         clock: Clock,
+        evacuations: EvacuationControl | None = None,
     ) -> None:
         self.store = store
+        self.evacuations = evacuations
         self.key = key
         self.decode = decode
         self.on_table = on_table
@@ -94,9 +97,12 @@
             await asyncio.sleep(wait / MILLIS_PER_SECOND)
 
     def _read_interval_ms(self) -> float:
+        bound_ms = self.freshness.apply_ms
+        if self.evacuations is not None and self.evacuations.is_enabled():
+            bound_ms = min(bound_ms, self.evacuations.bound_ms)
         if self.is_candidate():
-            return self.freshness.apply_ms * READ_INTERVAL_FRACTION
-        return self.freshness.apply_ms * RARE_READ_INTERVAL_FRACTION
+            return bound_ms * READ_INTERVAL_FRACTION
+        return bound_ms * RARE_READ_INTERVAL_FRACTION
 
     def has_failed_recently(self, now: Millis) -> bool:
         """Return whether the store has just failed this node.
@@ -108,7 +114,7 @@
     async def read(self) -> bool:
         """Read the table once; return whether the store is reachable."""
         sent = self.clock.now()
-        reply = await self.store.get(self.key)
+        reply = await self._read_store()
         reachable = reply.outcome in {StoreOutcome.done, StoreOutcome.missing}
         if reachable is not self.is_store_reachable:
             self.is_store_reachable = reachable
@@ -125,6 +131,20 @@
         self.apply_table(item.revision, item.value or b'', sent)
         return True
 
+    async def _read_store(self) -> StoreReply:
+        """Read the table, and the evacuations by the same call."""
+        if self.evacuations is None or not self.evacuations.is_enabled():
+            return await self.store.get(self.key)
+        reply = await self.store.list_items(
+            self.evacuations.prefix, stale=False
+        )
+        if reply.outcome is not StoreOutcome.done:
+            return reply
+        self.evacuations.apply_read(reply)
+        items = tuple(item for item in reply.items if item.key == self.key)
+        outcome = StoreOutcome.done if items else StoreOutcome.missing
+        return StoreReply(outcome, reply.revision, items)
+
     def apply_table(
         self, revision: Revision, content: bytes, confirmed_at: Millis
     ) -> bool:
@@ -169,6 +189,9 @@
                 version=table.version,
             )
             return False
+        if self.serial and table.serial > self.serial and self.evacuations:
+            # No copy of the store from before has this version.
+            self.evacuations.record_write(era_of(revision))
         self.serial = table.serial
         self.revision = revision
         self.content = content
--- a/src/jasmineramp/platform/binding.py
+++ b/src/jasmineramp/platform/binding.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from jasmineramp.ids import Revision
+from jasmineramp.ids import DomainId, Revision
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
@@ -25,6 +25,7 @@
     """Translate between the node and the platform without any policy."""
 
     table_key = configuration.CONFIGURATION_KEY
+    operator_prefix = configuration.OPERATOR_PREFIX
 
     def decode_table(self, value: bytes, revision: Revision) -> RouteTable:
         """Return the table; raise ValueError that names the invalid field."""
@@ -33,6 +34,10 @@
         except msgspec.MsgspecError as error:
             raise ValueError(str(error)) from None
 
+    def read_evacuated_domain(self, key: str) -> DomainId | None:
+        """Return the failure domain of an evacuation, None for other keys."""
+        return configuration.read_evacuated_domain(key)
+
     def read_request(self, request: CallerRequest) -> CallHead:
         """Return the parsed headers of a caller's request."""
         return headers.read_request(request)
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -7,7 +7,13 @@
 
 from jasmineramp.authentication import digest_key
 from jasmineramp.decoding import Count, ForeignDecoder, Rate
-from jasmineramp.ids import Revision, RowName, ServiceName, WorkspaceId
+from jasmineramp.ids import (
+    DomainId,
+    Revision,
+    RowName,
+    ServiceName,
+    WorkspaceId,
+)
 from jasmineramp.mesh.calls import CallKind
 from jasmineramp.mesh.route_table import (
     CallerLimits,
@@ -20,6 +26,9 @@
 from jasmineramp.table import KeyRow, WorkspaceRow
 
 CONFIGURATION_KEY = 'op/config'
+# All keys that the operators write.
+OPERATOR_PREFIX = 'op/'
+_EVACUATION_PREFIX = 'op/evacuate/'
 _DOWNLOAD = 'download'
 _KINDS = {
     'idempotent': CallKind.idempotent,
@@ -100,6 +109,13 @@
     )
 
 
+def read_evacuated_domain(key: str) -> DomainId | None:
+    """Return the failure domain of an evacuation, None for other keys."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return DomainId(key.removeprefix(_EVACUATION_PREFIX)) or None
+
+
 def _read_serial(version: str) -> int:
     if not version or not set(version) <= set(string.hexdigits):
         raise ValueError(f'version {version!r} is not hexadecimal')
--- a/src/jasmineramp/platform/settings.py
+++ b/src/jasmineramp/platform/settings.py
@@ -77,6 +77,7 @@
         retry_slack=_read_number(
             fields, 'terms.bounds.retryBudgetSlack', default.retry_slack
         ),
+        evac_ms=_read_duration_ms(fields, 'terms.bounds.evac', default.evac_ms),
     )
 
 
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -64,6 +64,7 @@
         self.initial_discovery_until = now + INITIAL_DISCOVERY_MS
         self.services: dict[ServiceName, Service] = {}
         self.targets: dict[NodeId, Target] = {}
+        self.evacuated: frozenset[DomainId] = frozenset()
 
 
 def set_instances(
@@ -95,6 +96,7 @@
         target.restart(instance, cold_until)
     else:
         _update_target(state, target, instance, cold_until)
+    target.is_evacuated = instance.domain in state.evacuated
     service = state.services.setdefault(instance.upstream.service, Service())
     service.targets[instance.node] = target
     service.rebuild_pools_at = 0
@@ -115,6 +117,35 @@
         state.targets.pop(node)
 
 
+def set_evacuated(
+    state: RoutingState, domains: frozenset[DomainId], now: Millis
+) -> None:
+    """Exclude the instances of these failure domains and no others.
+
+    Those that come back get calls gradually.
+    """
+    state.evacuated = domains
+    for service in state.services.values():
+        for target in service.targets.values():
+            was_evacuated = target.is_evacuated
+            target.is_evacuated = target.instance.domain in domains
+            if was_evacuated and not target.is_evacuated:
+                target.cold_until = now + SLOW_START_MS
+        service.rebuild_pools_at = 0
+
+
+def nodes_in_domain(
+    state: RoutingState, service_name: ServiceName, domain: DomainId
+) -> frozenset[NodeId]:
+    """Return the nodes of a failure domain with an instance of a service."""
+    service = state.services.get(service_name, Service())
+    return frozenset(
+        node
+        for node, target in service.targets.items()
+        if target.instance.domain == domain
+    )
+
+
 def choose(
     state: RoutingState,
     service_name: ServiceName,
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -27,6 +27,7 @@
         'failure_rate',
         'in_flight',
         'instance',
+        'is_evacuated',
         'last_ejection_at',
         'node',
         'queued',
@@ -38,6 +39,7 @@
 
     def __init__(self, instance: Instance, cold_until: float) -> None:
         self.in_flight = 0
+        self.is_evacuated = False
         self.node = instance.node
         self.restart(instance, cold_until)
 
@@ -64,7 +66,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the instance accepts new calls."""
-        return self.instance.upstream.state is UpstreamState.ready
+        return (
+            self.instance.upstream.state is UpstreamState.ready
+            and not self.is_evacuated
+        )
 
     def slow_start_factor(self, now: Millis) -> float:
         """Return the fraction of the weight that counts during slow start."""
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -130,8 +130,17 @@
 class Fleet:
     """Run a store and nodes, each with an upstream."""
 
-    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+    def __init__(
+        self,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
+        *,
+        bounds: Bounds | None = None,
+        domains: str = 'a',
+    ) -> None:
         self.memory_bytes = memory_bytes
+        self.bounds = bounds or Bounds()
+        # Nodes are placed in the failure domains by turns.
+        self.domains = domains
         self.store = MetadataStore()
         self.nodes: list[Node] = []
         self.upstreams: list[FakeUpstream] = []
@@ -274,14 +283,14 @@
         addresses = [(HOST, port) for port in ports]
         return NodeSettings(
             NodeId(f'n{number}'),
-            DomainId('a'),
+            DomainId(self.domains[number % len(self.domains)]),
             ServiceName('orders'),
             *addresses[:5],
             (HOST, self.store_port),
             addresses[5],
             1500,
             1000,
-            Bounds(),
+            self.bounds,
             self.memory_bytes,
         )
 
--- a/tests/mesh/test_table_watch.py
+++ b/tests/mesh/test_table_watch.py
@@ -79,6 +79,15 @@
         self.assertTrue(self.apply(0, 30, b'7'))
         self.assertEqual(self.tables, ['5', '6', '7'])
 
+    # Guards against an evacuation that stays after the operators have written.
+    def test_later_version_shows_a_write_of_the_operators(self) -> None:
+        evacuations = mock.Mock()
+        self.watch.evacuations = evacuations
+        self.apply(1, 12, b'5')
+        evacuations.record_write.assert_not_called()
+        self.apply(1, 12, b'6')
+        evacuations.record_write.assert_called_once_with(1)
+
     # Guards against a table that counts as proven by a read of another one.
     def test_later_version_is_only_as_fresh_as_its_own_read(self) -> None:
         self.apply(1, 12, b'6')
--- a/tests/platform/test_check_command.py
+++ b/tests/platform/test_check_command.py
@@ -21,6 +21,7 @@
 network.internalPortRange=7000,7015
 platform.platform.address=127.0.0.1:6
 terms.bounds.drain=2500ms
+terms.bounds.evac=5000ms
 """
 
 
@@ -47,6 +48,7 @@
         self.assertEqual(status, 0, printed)
         self.assertIn('node n1 of orders in a', printed)
         self.assertIn('drain_ms 2500', printed)
+        self.assertIn('evac_ms 5000', printed)
         wrong = SETTINGS.replace('127.0.0.1:6', 'nowhere')
         status, printed = self.check('settings', wrong)
         self.assertEqual(status, 2)
