Choose instances by their estimated use

Nodes that send an instance a few calls a second know its load only from old replies, so most comparisons were ties and instances filled in turns.

Load reports now carry the running and queued calls and the limit of an instance. load_estimates.py ages a report towards the mean of its failure domain and adds the calls that the node has sent since. Services whose instances have fewer slots than the fleet has nodes choose the instance of the local domain with the lowest estimate; another domain is used only at an estimate of 0.9 or more and if it is lower by 0.2.

--- a/src/jasmineramp/load_reports.py
+++ b/src/jasmineramp/load_reports.py
@@ -10,10 +10,14 @@
 
     The shed level is the importance below which other nodes should refuse
     calls to the instance. The capacity is the measured calls a second at full
-    use, 0 if unknown. An instance that is not healthy counts as full.
+    use, 0 if unknown. An instance that is not healthy counts as full. Busy are
+    the running and the queued calls, the limit is how many can run at once, 0
+    if unknown; nodes of the release before neither send nor read these two.
     """
 
     queued: Count = 0
     capacity: Rate = 0
     shed_level: Count = 0
     healthy: bool = True
+    busy: Count = 0
+    limit: Count = 0
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -17,6 +17,7 @@
     CallerRequest,
     CallResult,
     Failure,
+    UpstreamCall,
     not_run_failure,
     run_unknown_failure,
 )
@@ -227,6 +228,9 @@
         call.remaining_ms = remaining_ms
         call.max_wait_ms = max(0, admitted.wait_until - self.clock.now())
         call.instance = ''
+        believed_use = routing.believed_use(
+            self.routes, instance.node, self.clock.now()
+        )
         with Observation(self.routes, instance, self.clock) as observation:
             if instance.node == self.node:
                 result = await self.gate.run(call)
@@ -243,10 +247,35 @@
                 )
             observation.load = outcome.load
             observation.outcome = outcome_of(outcome.result)
+        if believed_use is not None:
+            self._log_misjudged_use(call, instance.node, believed_use, outcome)
         admitted.is_starved = outcome.is_starved
         admitted.had_room = outcome.has_room
         return outcome.result
 
+    def _log_misjudged_use(
+        self,
+        call: UpstreamCall,
+        node: NodeId,
+        believed_use: float,
+        outcome: SendOutcome,
+    ) -> None:
+        result, load = outcome.result, outcome.load
+        if (
+            load is None
+            or not load.limit
+            or not isinstance(result, Failure)
+            or result.code is not RefusalCode.overloaded
+        ):
+            return
+        self.log.write(
+            'use_misjudged',
+            request=call.request_id,
+            instance=node,
+            believed_use=round(believed_use, 2),
+            reported_use=round(load.busy / load.limit, 2),
+        )
+
     def _overloaded(self, admitted: AdmittedCall) -> Failure:
         return Failure(
             RefusalCode.overloaded,
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -139,6 +139,7 @@
     def _update_members(self) -> None:
         self.quotas.set_nodes(self.directory.members)
         self.retry_budget.set_nodes(len(self.directory.members))
+        routing.set_nodes(self.routes, len(self.directory.members))
         local = self.directory.members.get(self.node)
         if local is not None:
             self.entry.gate.repeat_budget.set_instances(
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -115,6 +115,8 @@
             admission.capacity(state),
             admission.shed_level(state, self.clock.now()),
             self.accepts_calls(),
+            busy=len(state.running) + queued,
+            limit=int(state.limiter.limit),
         )
 
     def accepts_calls(self) -> bool:
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -52,6 +52,7 @@
     for labels, count in gauges.store_calls.items():
         store.add_metric(labels, count)
     yield store
+    yield from _use_families(gauges)
     for name, text, counter in (
         (
             'refusals',
@@ -82,6 +83,35 @@
         yield times
 
 
+def _use_families(gauges: Gauges) -> Iterable[object]:
+    for name, text, field in (
+        (
+            'use_replies',
+            'Replies that report the use of an instance.',
+            'replies',
+        ),
+        (
+            'use_believed',
+            'Sum of the uses that this node estimated.',
+            'believed',
+        ),
+        ('use_reported', 'Sum of the uses that replies reported.', 'reported'),
+        ('use_error', 'Sum of the differences of the two.', 'error'),
+    ):
+        family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
+        for service, totals in gauges.use_totals.items():
+            family.add_metric((service,), getattr(totals, field))
+        yield family
+    left = CounterMetricFamily(
+        f'{PREFIX}left_domain',
+        'Calls by estimated use that went to another failure domain.',
+        labels=('name',),
+    )
+    for service, count in gauges.left_domain.items():
+        left.add_metric((service,), count)
+    yield left
+
+
 def _gauge_families(gauges: Gauges) -> Iterable[object]:
     credit = GaugeMetricFamily(
         f'{PREFIX}retry_credit',
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -312,6 +312,8 @@
             self.retry_budget.credit,
             self.gate.pressure.admitted_shares(),
             self.store.counts,
+            self.routes.estimate_metrics.totals,
+            self.routes.estimate_metrics.left_domain,
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jasmineramp.ids import RowName, ServiceName
+from jasmineramp.load_estimates import UseTotals
 from jasmineramp.mesh.calls import Answer, CallResult
 from jasmineramp.refusals import RunState
 
@@ -55,6 +56,8 @@
     retry_credit: Mapping[ServiceName, float]
     admitted_share: Mapping[int, float]
     store_calls: Mapping[tuple[str, str], int]
+    use_totals: Mapping[ServiceName, UseTotals] = {}
+    left_domain: Mapping[ServiceName, int] = {}
 
 
 class NodeMetrics:
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -2,14 +2,14 @@
 
 import enum
 import random
-from bisect import bisect
 from collections.abc import Iterable
-from itertools import accumulate
 
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
+from jasmineramp.load_estimates import EstimateMetrics, GroupUse
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
+from jasmineramp.routing_choice import least_loaded, select
 from jasmineramp.routing_targets import (
     SLOW_START_MS,
     Pool,
@@ -23,8 +23,6 @@
 # instances that it discovers in this time do not count as cold.
 INITIAL_DISCOVERY_MS = 5_000
 REPORT_LIFETIME_MS = 1_000
-SPARE_SLOTS_REFRESH_MS = 100
-SAMPLING_ATTEMPTS = 6
 PROBE_RATIO = 0.02
 MIN_CAPACITY_CHANGE_RATIO = 0.1
 REBUILD_DELAY_MS = 500
@@ -64,6 +62,30 @@
         self.initial_discovery_until = now + INITIAL_DISCOVERY_MS
         self.services: dict[ServiceName, Service] = {}
         self.targets: dict[NodeId, Target] = {}
+        # Nodes of the fleet, 0 if unknown.
+        self.nodes = 0
+        self.estimate_metrics = EstimateMetrics()
+
+
+def set_nodes(state: RoutingState, nodes: int) -> None:
+    """Set the number of nodes of the fleet, which choose independently."""
+    if nodes != state.nodes:
+        state.nodes = nodes
+        for service in state.services.values():
+            service.rebuild_pools_at = 0
+
+
+def believed_use(
+    state: RoutingState, node: NodeId, now: Millis
+) -> float | None:
+    """Return the estimated use of an instance, None if it is not used."""
+    target = state.targets.get(node)
+    if target is None or not target.has_report():
+        return None
+    service = state.services.get(target.instance.upstream.service)
+    if service is None or not service.uses_estimates:
+        return None
+    return service.estimate(target, now)
 
 
 def set_instances(
@@ -136,24 +158,15 @@
         return None
     if now >= service.rebuild_pools_at:
         _rebuild(state, service, now)
-    target = None
-    if service.local_pool is not None:
-        target = _pick(state.random, service.local_pool, exclude, now)
-    if service.remote_pools and (
-        target is None
-        or target.is_full(now)
-        or (service.is_local_slow and not is_large)
-    ):
-        remote = _pick_remote(state.random, service, exclude, now)
-        if target is None or (
-            remote is not None and remote.load(now) < target.load(now)
-        ):
-            target = remote
+    target = select(state.random, service, exclude, now, is_large=is_large)
     if target is None:
         target = _least_loaded_ready(service, exclude, now)
         if target is None:
             return None
     target.in_flight += 1
+    target.estimate.sent += 1
+    if service.uses_estimates and target.instance.domain != state.domain:
+        state.estimate_metrics.left_domain[service_name] += 1
     return target.instance
 
 
@@ -183,6 +196,7 @@
     if incarnation not in {None, target.instance.incarnation}:
         return
     if load is not None:
+        _record_use(state, target, load, outcome, now)
         _record_report(service, target, load, now)
     if outcome is CallOutcome.succeeded:
         target.failure_rate -= FAILURE_SMOOTHING * target.failure_rate
@@ -266,60 +280,6 @@
         target.cold_until = cold_until
 
 
-def _pick(
-    rng: random.Random,
-    pool: Pool,
-    exclude: frozenset[NodeId],
-    now: Millis,
-) -> Target | None:
-    if len(pool.targets) == 1:
-        return _least_loaded(pool.targets, exclude, now)
-    best: Target | None = None
-    for _ in range(SAMPLING_ATTEMPTS):
-        target = _draw(rng, pool, now)
-        if target is best or target is None or not _is_usable(target, exclude):
-            continue
-        if best is not None:
-            return target if target.load(now) < best.load(now) else best
-        best = target
-    return best or _least_loaded(pool.targets, exclude, now)
-
-
-def _draw(rng: random.Random, pool: Pool, now: Millis) -> Target | None:
-    targets = pool.targets
-    index = bisect(pool.cumulative_weights, rng.random() * pool.total_weight)
-    # Rounding may place the draw at the end of the last range.
-    target = targets[min(index, len(targets) - 1)]
-    if now < target.cold_until and rng.random() > target.slow_start_factor(now):
-        return None
-    return target
-
-
-def _pick_remote(
-    rng: random.Random,
-    service: Service,
-    exclude: frozenset[NodeId],
-    now: Millis,
-) -> Target | None:
-    pools = service.remote_pools
-    if now >= service.spare_slots_valid_until:
-        service.spare_slots_valid_until = now + SPARE_SLOTS_REFRESH_MS
-        service.cumulative_shares = list(
-            accumulate(pool.spare_slots(now) for pool in pools)
-        )
-        if not service.cumulative_shares[-1]:
-            service.cumulative_shares = list(
-                accumulate(pool.total_weight for pool in pools)
-            )
-    drawn = rng.random() * service.cumulative_shares[-1]
-    index = min(bisect(service.cumulative_shares, drawn), len(pools) - 1)
-    target = _pick(rng, pools[index], exclude, now)
-    if target is not None:
-        return target
-    remote_targets = [each for pool in pools for each in pool.targets]
-    return _least_loaded(remote_targets, exclude, now)
-
-
 def _least_loaded_ready(
     service: Service,
     exclude: frozenset[NodeId],
@@ -327,20 +287,7 @@
 ) -> Target | None:
     # An ejected instance is better than none, but a draining one is not.
     ready = [each for each in service.targets.values() if each.is_ready()]
-    return _least_loaded(ready, exclude, now)
-
-
-def _is_usable(target: Target, exclude: frozenset[NodeId]) -> bool:
-    return target.in_flight < target.connections and target.node not in exclude
-
-
-def _least_loaded(
-    targets: list[Target],
-    exclude: frozenset[NodeId],
-    now: Millis,
-) -> Target | None:
-    usable = [each for each in targets if _is_usable(each, exclude)]
-    return min(usable, key=lambda each: each.load(now), default=None)
+    return least_loaded(ready, exclude, now)
 
 
 def _rebuild(state: RoutingState, service: Service, now: Millis) -> None:
@@ -355,7 +302,11 @@
     for target in ready:
         if now >= target.ejected_until:
             by_domain.setdefault(target.instance.domain, []).append(target)
-    pools = {name: Pool(members) for name, members in by_domain.items()}
+    pools = {
+        name: Pool(members, service.group_uses.setdefault(name, GroupUse()))
+        for name, members in by_domain.items()
+    }
+    service.uses_estimates = all(each.slots < state.nodes for each in ready)
     service.local_pool = pools.pop(state.domain, None)
     service.remote_pools = list(pools.values())
     service.is_local_slow = is_domain_slow(
@@ -368,6 +319,25 @@
     )
 
 
+def _record_use(
+    state: RoutingState,
+    target: Target,
+    load: LoadReport,
+    outcome: CallOutcome,
+    now: Millis,
+) -> None:
+    name = target.instance.upstream.service
+    is_estimated = state.services[name].uses_estimates and target.has_report()
+    if is_estimated and load.limit:
+        state.estimate_metrics.record(
+            name,
+            target.estimate.estimate(target.in_flight, now),
+            load.busy / load.limit,
+        )
+    has_refused = outcome is CallOutcome.shed
+    target.estimate.record(load, now, has_refused=has_refused)
+
+
 def _record_report(
     service: Service,
     target: Target,
@@ -395,6 +365,7 @@
 
 def _record_failure(service: Service, target: Target, now: Millis) -> None:
     target.failure_rate += FAILURE_SMOOTHING * (1 - target.failure_rate)
+    target.estimate.failed_at = now
     service.failure_rate += (
         FAILURE_SMOOTHING * (1 - service.failure_rate) / len(service.targets)
     )
--- /dev/null
+++ b/src/jasmineramp/routing_choice.py
@@ -0,0 +1,191 @@
+"""Sample the instances of a service and compare their loads."""
+
+import random
+from bisect import bisect
+from itertools import accumulate
+
+from jasmineramp.clock import Millis
+from jasmineramp.ids import NodeId
+from jasmineramp.load_estimates import LEAVE_DOMAIN_USE, may_leave_domain
+from jasmineramp.routing_targets import Pool, Service, Target
+
+SPARE_SLOTS_REFRESH_MS = 100
+SAMPLING_ATTEMPTS = 6
+# Without it, a domain believed to be full would never be tried again.
+MIN_SPARE_SHARE = 0.02
+
+
+def select(
+    rng: random.Random,
+    service: Service,
+    exclude: frozenset[NodeId],
+    now: Millis,
+    *,
+    is_large: bool,
+) -> Target | None:
+    """Return an instance of the local domain or, if it is full, of another."""
+    target = None
+    if service.local_pool is not None:
+        target = _pick(rng, service, service.local_pool, exclude, now)
+    if not service.remote_pools:
+        return target
+    is_slow = service.is_local_slow and not is_large
+    if target is None:
+        return _pick_remote(rng, service, exclude, now)
+    if is_slow or _is_full(service, target, now):
+        remote = _pick_remote(rng, service, exclude, now)
+        if remote is not None and _is_remote_better(
+            service, target, remote, now, is_slow=is_slow
+        ):
+            return remote
+    return target
+
+
+def least_loaded(
+    targets: list[Target],
+    exclude: frozenset[NodeId],
+    now: Millis,
+) -> Target | None:
+    """Return the usable instance with the lowest load, None if none is."""
+    usable = [each for each in targets if _is_usable(each, exclude)]
+    return min(usable, key=lambda each: each.load(now), default=None)
+
+
+def _is_usable(target: Target, exclude: frozenset[NodeId]) -> bool:
+    return target.in_flight < target.connections and target.node not in exclude
+
+
+def _pick(
+    rng: random.Random,
+    service: Service,
+    pool: Pool,
+    exclude: frozenset[NodeId],
+    now: Millis,
+) -> Target | None:
+    target = _pick_of_two(rng, pool, exclude, now)
+    # An instance without a report or in slow start gets as many calls as two
+    # random choices give it.
+    if (
+        not service.uses_estimates
+        or target is None
+        or not target.has_report()
+        or now < target.cold_until
+    ):
+        return target
+    return _least_used(service, pool, exclude, now) or target
+
+
+def _least_used(
+    service: Service,
+    pool: Pool,
+    exclude: frozenset[NodeId],
+    now: Millis,
+) -> Target | None:
+    """Return the instance with the lowest estimated use.
+
+    Nodes get their reports at different times, so they do not all choose the
+    same instance.
+    """
+    best: Target | None = None
+    lowest_use = float('inf')
+    for target in pool.targets:
+        if (
+            target.estimate.limit
+            and now >= target.cold_until
+            and target.in_flight < target.connections
+            and target.node not in exclude
+        ):
+            use = service.estimate(target, now)
+            if use < lowest_use:
+                best, lowest_use = target, use
+    return best
+
+
+def _pick_of_two(
+    rng: random.Random,
+    pool: Pool,
+    exclude: frozenset[NodeId],
+    now: Millis,
+) -> Target | None:
+    if len(pool.targets) == 1:
+        return least_loaded(pool.targets, exclude, now)
+    best: Target | None = None
+    for _ in range(SAMPLING_ATTEMPTS):
+        target = _draw(rng, pool, now)
+        if target is best or target is None or not _is_usable(target, exclude):
+            continue
+        if best is not None:
+            return target if target.load(now) < best.load(now) else best
+        best = target
+    return best or least_loaded(pool.targets, exclude, now)
+
+
+def _draw(rng: random.Random, pool: Pool, now: Millis) -> Target | None:
+    targets = pool.targets
+    index = bisect(pool.cumulative_weights, rng.random() * pool.total_weight)
+    # Rounding may place the draw at the end of the last range.
+    target = targets[min(index, len(targets) - 1)]
+    if now < target.cold_until and rng.random() > target.slow_start_factor(now):
+        return None
+    return target
+
+
+def _pick_remote(
+    rng: random.Random,
+    service: Service,
+    exclude: frozenset[NodeId],
+    now: Millis,
+) -> Target | None:
+    pools = service.remote_pools
+    if now >= service.spare_slots_valid_until:
+        service.spare_slots_valid_until = now + SPARE_SLOTS_REFRESH_MS
+        service.cumulative_shares = list(
+            accumulate(_spare(service, pool, now) for pool in pools)
+        )
+        if not service.cumulative_shares[-1]:
+            service.cumulative_shares = list(
+                accumulate(pool.total_weight for pool in pools)
+            )
+    drawn = rng.random() * service.cumulative_shares[-1]
+    index = min(bisect(service.cumulative_shares, drawn), len(pools) - 1)
+    target = _pick(rng, service, pools[index], exclude, now)
+    if target is not None:
+        return target
+    remote_targets = [each for pool in pools for each in pool.targets]
+    return least_loaded(remote_targets, exclude, now)
+
+
+def _spare(service: Service, pool: Pool, now: Millis) -> float:
+    if service.uses_estimates and pool.has_reports():
+        spare_share = 1 - pool.group_use.use(now)
+        return pool.total_weight * max(MIN_SPARE_SHARE, spare_share)
+    return pool.spare_slots(now)
+
+
+def _is_full(service: Service, target: Target, now: Millis) -> bool:
+    """Return whether instances of other domains are considered as well."""
+    if service.uses_estimates and target.has_report():
+        return service.estimate(target, now) >= LEAVE_DOMAIN_USE
+    return target.is_full(now)
+
+
+def _is_remote_better(
+    service: Service,
+    target: Target,
+    remote: Target,
+    now: Millis,
+    *,
+    is_slow: bool,
+) -> bool:
+    # The calls of a slow domain take longer even on an idle instance, which
+    # its use does not show.
+    if (
+        service.uses_estimates
+        and not is_slow
+        and target.has_report()
+        and remote.has_report()
+    ):
+        return may_leave_domain(
+            service.estimate(target, now), service.estimate(remote, now)
+        )
+    return remote.load(now) < target.load(now)
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -3,7 +3,12 @@
 from itertools import accumulate
 
 from jasmineramp.clock import Millis
-from jasmineramp.ids import Importance, NodeId
+from jasmineramp.ids import DomainId, Importance, NodeId
+from jasmineramp.load_estimates import (
+    TOLERATED_FAILURE_RATE,
+    GroupUse,
+    LoadEstimate,
+)
 from jasmineramp.membership_messages import Instance, UpstreamState
 
 SLOW_START_MS = 10_000
@@ -24,6 +29,7 @@
         'connections',
         'ejected_until',
         'ejections',
+        'estimate',
         'failure_rate',
         'in_flight',
         'instance',
@@ -52,6 +58,7 @@
         self.report_valid_until = float(0)
         self.shed_level = 0
         self.capacity = float(0)
+        self.estimate = LoadEstimate()
         self.weight = float(1)
         self.update(instance)
 
@@ -73,6 +80,10 @@
         elapsed = SLOW_START_MS - (self.cold_until - now)
         return max(MIN_SLOW_START_FACTOR, elapsed / SLOW_START_MS)
 
+    def has_report(self) -> bool:
+        """Return whether the instance has reported its use."""
+        return self.estimate.limit > 0
+
     def load(self, now: Millis) -> float:
         """Return the calls in flight and queued, per unit of weight."""
         busy = float(self.in_flight)
@@ -117,15 +128,22 @@
 class Pool:
     """Hold the instances of a service in one failure domain to choose from."""
 
-    __slots__ = ('cumulative_weights', 'targets', 'total_weight')
+    __slots__ = ('cumulative_weights', 'group_use', 'targets', 'total_weight')
 
-    def __init__(self, targets: list[Target]) -> None:
+    def __init__(self, targets: list[Target], group_use: GroupUse) -> None:
         self.targets = targets
+        self.group_use = group_use
+        for target in targets:
+            target.estimate.group = group_use
         self.cumulative_weights = list(
             accumulate(each.weight for each in targets)
         )
         self.total_weight = self.cumulative_weights[-1]
 
+    def has_reports(self) -> bool:
+        """Return whether all instances have reported their use."""
+        return all(each.has_report() for each in self.targets)
+
     def slot_rate(self) -> float:
         """Return the mean weight per slot of measured instances, 0 if none."""
         measured = [each for each in self.targets if each.capacity]
@@ -170,3 +188,22 @@
         self.rebuild_pools_at = float(0)
         self.spare_slots_valid_until = float(0)
         self.failure_rate = float(0)
+        # Whether instances are compared by their estimated use. This holds if
+        # all have fewer slots than the fleet has nodes: a node then has less
+        # than one call of its own on an instance.
+        self.uses_estimates = False
+        self.group_uses: dict[DomainId, GroupUse] = {}
+
+    def estimate(self, target: Target, now: Millis) -> float:
+        """Return the use of an instance as this node believes it."""
+        use = target.estimate.estimate(target.in_flight, now)
+        # Failures that all instances share are no reason to avoid one.
+        if target.failure_rate > max(
+            TOLERATED_FAILURE_RATE, 2 * self.failure_rate
+        ):
+            use = target.estimate.correct_for_failures(
+                use, target.failure_rate, now
+            )
+        if now >= target.cold_until:
+            return use
+        return use / target.slow_start_factor(now)
