--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -131,6 +131,8 @@
             admission.capacity(state),
             admission.shed_level(state, self.clock.now()),
             self.accepts_calls() and self.domain_state is DomainState.open,
+            busy=len(state.running) + queued,
+            limit=int(state.limiter.limit),
         )
 
     def accepts_calls(self) -> bool:
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -336,6 +336,8 @@
             self.gate.pressure.admitted_shares(),
             self.store.counts,
             self.evacuations.evacuated(),
+            self.routes.estimate_metrics.totals,
+            self.routes.estimate_metrics.left_domain,
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
