Prefer fast instances for calls with a short objective

Cause: instances of one service differ in speed by up to three times while most of their slots are free. No queue forms at the slow ones, so the choice by load leaves a call whose objective is a few times its service time to chance.

Change: replies tell the mean time of one row, the rows in turn. For a row whose objective is below three times its time at the slowest instance, the entry node chooses among the fastest instances that have room for one call of every node; other rows and services with fewer slots are chosen as before.

--- a/src/jasmineramp/limits.py
+++ b/src/jasmineramp/limits.py
@@ -329,6 +329,19 @@
             estimate.mean_ms * 0.5 ** (age / ESTIMATE_HALF_LIFE_MS - 1)
         )
 
+    def measured_ms(self, row: RowName) -> float:
+        """Return the mean of the last calls of a row in ms, 0 without any."""
+        estimate = self.rows.get(row)
+        return estimate.mean_ms if estimate is not None else 0
+
+    def recent_rows(self, now: Millis, max_age_ms: float) -> list[RowName]:
+        """Return the rows with a call that finished within max_age_ms."""
+        return [
+            row
+            for row, estimate in self.rows.items()
+            if now - estimate.updated_at <= max_age_ms
+        ]
+
     def record(self, row: RowName, latency_ms: float, now: Millis) -> None:
         """Record the latency of a finished call in milliseconds."""
         estimate = self.rows.get(row)
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -4,6 +4,7 @@
 
 from jasmineramp import routing
 from jasmineramp.clock import Clock, later
+from jasmineramp.fast_instances import Objective
 from jasmineramp.ids import (
     Importance,
     NodeId,
@@ -32,6 +33,7 @@
 from jasmineramp.mesh.platform_binding import Dialect
 from jasmineramp.mesh.responses import Responder
 from jasmineramp.mesh.retry_budget import RetryBudget
+from jasmineramp.mesh.route_table import RouteRow
 from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import RoutingState
 
@@ -147,6 +149,7 @@
                 now,
                 is_large=admitted.route.has_large_answers
                 or len(admitted.upstream_call.body) > LARGE_BODY_BYTES,
+                objective=_objective_of(admitted.route),
             )
             if instance is not None or admitted.excluded or now > until:
                 return instance
@@ -260,3 +263,9 @@
             column='importance',
             figure=admitted.upstream_call.importance,
         )
+
+
+def _objective_of(route: RouteRow) -> Objective | None:
+    if not route.objective_ms:
+        return None
+    return Objective(route.name, route.objective_ms)
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -28,6 +28,7 @@
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.retry_budget import RepeatBudget
+from jasmineramp.mesh.row_time_reports import RowTimeReporter
 from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
 from jasmineramp.mesh.slot_limit import SlotLimiter
 from jasmineramp.mesh.upstream_http import (
@@ -81,6 +82,7 @@
         self.log = log
         self.clock = clock
         self.admission = AdmissionState(SlotLimiter(1))
+        self.row_times = RowTimeReporter(self.admission.service_times)
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
         self.call_ids = itertools.count()
         self.is_node_stopping = False
@@ -107,14 +109,16 @@
     def load(self) -> LoadReport:
         """Return the load report that peers use for routing."""
         state = self.admission
+        now = self.clock.now()
         queued = len(state.queue.entries)
         load_threshold = int(state.limiter.limit * LOAD_THRESHOLD_FRACTION)
         excess_calls = max(0, len(state.running) - load_threshold)
         return LoadReport(
             queued + excess_calls,
             admission.capacity(state),
-            admission.shed_level(state, self.clock.now()),
+            admission.shed_level(state, now),
             self.accepts_calls(),
+            *self.row_times.next(now),
         )
 
     def accepts_calls(self) -> bool:
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -7,7 +7,13 @@
 from itertools import accumulate
 
 from jasmineramp.clock import Millis
-from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
+from jasmineramp.fast_instances import Objective, choose_fast
+from jasmineramp.ids import (
+    DomainId,
+    Importance,
+    NodeId,
+    ServiceName,
+)
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
 from jasmineramp.routing_targets import (
@@ -122,6 +128,7 @@
     now: Millis,
     *,
     is_large: bool = False,
+    objective: Objective | None = None,
 ) -> Instance | None:
     """Choose an instance and count the call as in flight on it.
 
@@ -137,6 +144,20 @@
     if now >= service.rebuild_pools_at:
         _rebuild(state, service, now)
     target = None
+    if objective is not None:
+        target = choose_fast(
+            state.random,
+            service,
+            objective,
+            exclude,
+            now,
+            domain=state.domain,
+            nodes=len(state.targets),
+            is_large=is_large,
+        )
+    if target is not None:
+        target.in_flight += 1
+        return target.instance
     if service.local_pool is not None:
         target = _pick(state.random, service.local_pool, exclude, now)
     if service.remote_pools and (
@@ -390,6 +411,7 @@
             service.rebuild_pools_at, now + REBUILD_DELAY_MS
         )
     target.shed_level = load.shed_level
+    target.record_row_time(load.timed_row, load.row_time_ms)
     target.report_valid_until = now + REPORT_LIFETIME_MS
 
 
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -1,14 +1,17 @@
 """Hold what an entry node knows about the instances of services."""
 
 from itertools import accumulate
+from typing import NamedTuple
 
 from jasmineramp.clock import Millis
-from jasmineramp.ids import Importance, NodeId
+from jasmineramp.ids import Importance, NodeId, RowName
 from jasmineramp.membership_messages import Instance, UpstreamState
 
 SLOW_START_MS = 10_000
 MIN_SLOW_START_FACTOR = 0.1
 MAX_CAPACITY_FACTOR = 8
+# Bounds what the reports of an instance make a node keep.
+MAX_TIMED_ROWS = 32
 # The local domain is slow if its rate per slot is below this ratio of the
 # median of the other domains. Its calls take longer even in a free slot.
 SLOW_DOMAIN_RATIO = 0.6
@@ -31,6 +34,7 @@
         'node',
         'queued',
         'report_valid_until',
+        'row_times',
         'shed_level',
         'slots',
         'weight',
@@ -53,6 +57,8 @@
         self.shed_level = 0
         self.capacity = float(0)
         self.weight = float(1)
+        # The mean service times in ms that the instance has told, by row.
+        self.row_times: dict[RowName, float] = {}
         self.update(instance)
 
     def update(self, instance: Instance) -> None:
@@ -62,6 +68,13 @@
         self.slots = max(1, instance.upstream.slots)
         self.announced_weight = max(1e-3, instance.upstream.weight)
 
+    def record_row_time(self, row: RowName, time_ms: float) -> None:
+        """Record the mean service time of a row; 0 if it is unknown."""
+        if time_ms > 0 and (
+            row in self.row_times or len(self.row_times) < MAX_TIMED_ROWS
+        ):
+            self.row_times[row] = time_ms
+
     def is_ready(self) -> bool:
         """Return whether the instance accepts new calls."""
         return self.instance.upstream.state is UpstreamState.ready
@@ -156,6 +169,13 @@
     )
 
 
+class FastChoice(NamedTuple):
+    """Hold the instances to prefer for a row until the choice expires."""
+
+    targets: tuple[Target, ...]
+    valid_until: Millis
+
+
 class Service:
     """Hold all instances of a service."""
 
@@ -170,3 +190,4 @@
         self.rebuild_pools_at = float(0)
         self.spare_slots_valid_until = float(0)
         self.failure_rate = float(0)
+        self.fast_choices: dict[tuple[RowName, bool], FastChoice] = {}
