--- a/src/jasmineramp/load_reports.py
+++ b/src/jasmineramp/load_reports.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from jasmineramp.decoding import Count, Rate
+from jasmineramp.decoding import Count, DurationMs, Rate
+from jasmineramp.ids import RowName
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -12,7 +13,9 @@
     calls to the instance. The capacity is the measured calls a second at full
     use, 0 if unknown. An instance that is not healthy counts as full. Busy are
     the running and the queued calls, the limit is how many can run at once, 0
-    if unknown; nodes of the release before neither send nor read these two.
+    if unknown. The row time is the mean service time of one row at the
+    instance, 0 if unknown. Nodes of the release before neither send nor read
+    the fields behind `healthy`.
     """
 
     queued: Count = 0
@@ -21,3 +24,5 @@
     healthy: bool = True
     busy: Count = 0
     limit: Count = 0
+    timed_row: RowName = RowName('')
+    row_time_ms: DurationMs = 0
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from jasmineramp.clock import Millis
+from jasmineramp.fast_instances import Objective, choose_fast
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
 from jasmineramp.load_estimates import EstimateMetrics, GroupUse
 from jasmineramp.load_reports import LoadReport
@@ -175,6 +176,7 @@
     now: Millis,
     *,
     is_large: bool = False,
+    objective: Objective | None = None,
 ) -> Instance | None:
     """Choose an instance and count the call as in flight on it.
 
@@ -189,7 +191,20 @@
         return None
     if now >= service.rebuild_pools_at:
         _rebuild(state, service, now)
-    target = select(state.random, service, exclude, now, is_large=is_large)
+    target = None
+    if objective is not None:
+        target = choose_fast(
+            state.random,
+            service,
+            objective,
+            exclude,
+            now,
+            domain=state.domain,
+            nodes=max(state.nodes, len(state.targets)),
+            is_large=is_large,
+        )
+    if target is None:
+        target = select(state.random, service, exclude, now, is_large=is_large)
     if target is None:
         target = _least_loaded_ready(service, exclude, now)
         if target is None:
@@ -391,6 +406,7 @@
             service.rebuild_pools_at, now + REBUILD_DELAY_MS
         )
     target.shed_level = load.shed_level
+    target.record_row_time(load.timed_row, load.row_time_ms)
     target.report_valid_until = now + REPORT_LIFETIME_MS
 
 
