Send the remaining time of the objective with a call

The node beside an instance knew the deadline of a call and how long it may wait, but not how much of the latency objective was left, so it could neither bound a wait by it nor tell a refused caller when a return is still useful.

UpstreamCall carries it behind the known fields.

--- a/src/jasmineramp/mesh/admitted_call.py
+++ b/src/jasmineramp/mesh/admitted_call.py
@@ -17,6 +17,7 @@
         'had_room',
         'has_arrived',
         'is_starved',
+        'objective_end',
         'redirects',
         'route',
         'service',
@@ -31,6 +32,8 @@
         deadline: Deadline,
         upstream_call: UpstreamCall,
         wait_until: Millis,
+        *,
+        objective_end: Millis | None = None,
     ) -> None:
         self.route = route
         self.service = service
@@ -38,6 +41,8 @@
         self.upstream_call = upstream_call
         # The end of the time in queues, that of all sends together.
         self.wait_until = wait_until
+        # None if the route has no latency objective.
+        self.objective_end = objective_end
         self.excluded: frozenset[NodeId] = frozenset()
         # Failed attempts are sends that may have run, redirects are sends that
         # were refused without a run.
--- a/src/jasmineramp/mesh/caller_admission.py
+++ b/src/jasmineramp/mesh/caller_admission.py
@@ -182,7 +182,17 @@
             is_repeat=origin is not None and origin.is_repeat,
         )
         wait_until = later(received, _max_wait_ms(route))
-        return AdmittedCall(route, service, deadline, call, wait_until)
+        objective_end = (
+            later(received, route.objective_ms) if route.objective_ms else None
+        )
+        return AdmittedCall(
+            route,
+            service,
+            deadline,
+            call,
+            wait_until,
+            objective_end=objective_end,
+        )
 
     def _find_origin(
         self, head: CallHead, workspace: RankedWorkspace | None
--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -48,6 +48,8 @@
     running. `max_wait_ms` limits the time in the queue of the upstream.
     `is_resent` tells that an instance may have received the call before,
     `is_repeat` that this holds for it or for the call that makes it.
+    `objective_ms` is the remaining time of the latency objective, None if the
+    route has none or the sender does not tell.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     max_wait_ms: DurationMs = MAX_QUEUE_WAIT_MS
     is_resent: bool = False
     is_repeat: bool = False
+    objective_ms: DurationMs | None = None
 
 
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -226,6 +226,10 @@
             self.retry_budget.count_send(admitted.service)
         call.remaining_ms = remaining_ms
         call.max_wait_ms = max(0, admitted.wait_until - self.clock.now())
+        if admitted.objective_end is not None:
+            call.objective_ms = max(
+                0, admitted.objective_end - self.clock.now()
+            )
         call.instance = ''
         with Observation(self.routes, instance, self.clock) as observation:
             if instance.node == self.node:
--- a/tests/mesh/test_peer_messages.py
+++ b/tests/mesh/test_peer_messages.py
@@ -32,6 +32,14 @@
         fields = msgspec.msgpack.decode(frame[LENGTH_PREFIX_BYTES:])
         self.assertEqual(fields, [10, 1, 30, 31, 2, 3])
 
+    # Guards against calls of the earlier release that are rejected because
+    # they do not tell the remaining time of the objective.
+    def test_call_without_an_objective(self) -> None:
+        fields = ['id', b'GET', b'/', [], b'', 300, 'row', '', 'a', 'b', '']
+        frame = [2, 1, [*fields, 3, 0, True, 150, False, False]]
+        call = decode_frame(msgspec.msgpack.encode(frame)).call
+        self.assertEqual((call.max_wait_ms, call.objective_ms), (150, None))
+
 
 class CallStreamTest(unittest.TestCase):
     """Test the start of a call whose rest is dropped."""
