Derive Retry-After from when room is expected

Callers refused for overload were told to return after a constant 200 ms, a random 300 to 900 ms or, by the entry node, nothing of its own (400 ms). Callers return once: they came back into the burst that had refused them, or when their objective had passed.

Each caller that will return now gets the next time of a virtual queue that moves at the rate at which the instance ends calls beyond the recent arrivals, with jitter, within 0.3 of its remaining time and three quarters of the time that its objective leaves beside the work and the present queue.

--- a/src/jasmineramp/mesh/downstream.py
+++ b/src/jasmineramp/mesh/downstream.py
@@ -7,6 +7,7 @@
 for each importance by itself: services refuse the least important calls first.
 """
 
+import math
 import random
 
 from jasmineramp.ids import Importance
@@ -32,7 +33,8 @@
 ROOMY_SHARE = 0.9
 # Some calls always pass, to find out whether there is room again.
 MIN_ADMITTED_SHARE = 0.05
-RETRY_AFTER_MS = (300.0, 900.0)
+# The interval of DownstreamPressure.adapt.
+TICK_MS = 100
 
 
 class _Level:
@@ -135,9 +137,13 @@
         """Return whether the services further down have free slots."""
         return all(level.has_room() for level in self.levels.values())
 
-    def retry_after_ms(self) -> float:
-        """Return a random delay, so that callers do not return together."""
-        return self.random.uniform(*RETRY_AFTER_MS)
+    def recovery_ms(self, importance: Importance) -> float:
+        """Return the shortest time until all calls could be admitted again."""
+        level = self.levels.get(importance)
+        if level is None or level.admitted_share >= 1:
+            return 0
+        ticks = -math.log(level.admitted_share) / math.log1p(INCREASE_WITH_ROOM)
+        return ticks * TICK_MS
 
     def adapt(self) -> None:
         """Adapt the admitted shares; call every tick."""
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from jasmineramp import routing
+from jasmineramp.admission import SHED_LEVEL_LIFETIME_MS
 from jasmineramp.clock import Clock, later
 from jasmineramp.ids import (
     Importance,
@@ -32,6 +33,7 @@
 from jasmineramp.mesh.platform_binding import Dialect
 from jasmineramp.mesh.responses import Responder
 from jasmineramp.mesh.retry_budget import RetryBudget
+from jasmineramp.mesh.return_times import CallerTime, spread_ms
 from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import RoutingState
 
@@ -252,10 +254,24 @@
         return outcome.result
 
     def _overloaded(self, admitted: AdmittedCall) -> Failure:
+        now = self.clock.now()
+        objective_end = admitted.objective_end
+        caller = CallerTime(
+            admitted.deadline.earliest() - now,
+            None if objective_end is None else objective_end - now,
+            # The work is not known here; a return may wait as long as this.
+            max(0, admitted.wait_until - now),
+        )
+        # By then the instances have reported their load again.
+        retry_after_ms = spread_ms(
+            caller, SHED_LEVEL_LIFETIME_MS, self.routes.random
+        )
+        self.metrics.retry_after.record(retry_after_ms)
         return Failure(
             RefusalCode.overloaded,
             RunState.not_run,
             row=admitted.route.name,
             column='importance',
             figure=admitted.upstream_call.importance,
+            retry_after_ms=round(retry_after_ms, 1),
         )
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -27,6 +27,7 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.node_metrics import NodeMetrics
+from jasmineramp.mesh.retry_advice import RetryAdvisor
 from jasmineramp.mesh.retry_budget import RepeatBudget
 from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
 from jasmineramp.mesh.slot_limit import SlotLimiter
@@ -81,6 +82,9 @@
         self.log = log
         self.clock = clock
         self.admission = AdmissionState(SlotLimiter(1))
+        self.retry_advisor = RetryAdvisor(
+            self.admission, pressure, metrics, clock
+        )
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
         self.call_ids = itertools.count()
         self.is_node_stopping = False
@@ -127,6 +131,7 @@
 
     async def run(self, call: UpstreamCall) -> CallResult:
         """Admit a call, run it at the upstream and return its result."""
+        self.retry_advisor.count_arrival()
         refusal = self._refuse_early(call)
         if refusal is not None:
             return refusal
@@ -145,7 +150,9 @@
         decisions = admission.offer(self.admission, queued, now)
         refused = await self._wait_for_start(call_id, decisions)
         if refused is not None:
-            self._log_refusal(call, refused, self.clock.now() - now)
+            waited_ms = self.clock.now() - now
+            self.retry_advisor.advise(call, refused, waited_ms)
+            self._log_refusal(call, refused, waited_ms)
             return refused
         started = self.clock.now()
         finish = functools.partial(self.finish, call_id)
@@ -176,6 +183,7 @@
             running=len(self.admission.running),
             limit=self.admission.limiter.limit,
             queued=len(self.admission.queue.entries),
+            retry_after_ms=failure.retry_after_ms,
         )
 
     def _log_failure(
@@ -209,7 +217,7 @@
         if not call.hop and not self.pressure.admits(
             Importance(call.importance)
         ):
-            return self._refuse_for_pressure(call)
+            return self.retry_advisor.refuse_for_pressure(call)
         if not call.is_repeat:
             self.repeat_budget.count_first()
         elif not call.is_resent:
@@ -226,19 +234,6 @@
             )
         return None
 
-    def _refuse_for_pressure(self, call: UpstreamCall) -> Failure:
-        return Failure(
-            RefusalCode.overloaded,
-            RunState.not_run,
-            'services further down are overloaded',
-            row=call.row,
-            column='importance',
-            figure=call.importance,
-            limit=self.pressure.admitted_shares()[call.importance],
-            retry_after_ms=self.pressure.retry_after_ms(),
-            is_for_all=True,
-        )
-
     async def _wait_for_start(
         self, call_id: CallId, decisions: list[Decision]
     ) -> Failure | None:
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -76,6 +76,11 @@
             'Duration of calls at the upstream.',
             metrics.upstream_time,
         ),
+        (
+            'retry_after_seconds',
+            'Delay given to refused callers.',
+            metrics.retry_after,
+        ),
     ):
         times = HistogramMetricFamily(f'{PREFIX}{name}', text)
         times.add_metric((), histogram.cumulative(), histogram.total_ms / 1000)
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -68,6 +68,7 @@
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
+        self.retry_after = Histogram()
 
     def record_call(
         self, row: RowName, result: CallResult, took_ms: float
--- a/tests/mesh/test_downstream.py
+++ b/tests/mesh/test_downstream.py
@@ -129,6 +129,9 @@
                 pressure.record(BROWSE, was_refused=True)
             pressure.adapt()
         self.assertEqual(pressure.admitted_shares()[BROWSE], MIN_ADMITTED_SHARE)
+        # Guards against callers told to return before they can be admitted.
+        self.assertGreater(pressure.recovery_ms(BROWSE), 2000)
+        self.assertEqual(pressure.recovery_ms(ORDER), 0)
         self.assertTrue(any(pressure.admits(BROWSE) for _ in range(200)))
         self.assertTrue(pressure.admits(ORDER))
 
