--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -66,6 +66,8 @@
     `is_resent` tells that an instance may have received the call before,
     `is_repeat` that this holds for it or for the call that makes it.
     `progress` counts the calls that were answered for the same request before.
+    `objective_ms` is the remaining time of the latency objective, None if the
+    route has none or the sender does not tell.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     is_resent: bool = False
     is_repeat: bool = False
     progress: Count = 0
+    objective_ms: DurationMs | None = None
 
 
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
