Fail answers with invalid statuses and ones cut off during an upload

Cause, seen on asyncio's loop and uvloop: an answer without a length that ended while the request was still being written was passed on as whole; one with a length or in chunks was waited for until the deadline. Statuses 000 and 099 counted as interim responses and were waited behind until the deadline; 600 and 999 were passed on, and 600 with the header for "not run" became a 503. The parser already rejected statuses with signs, spaces or other than three digits.

Change: a status outside 100 to 599 is a broken exchange at once, also one from a node of the previous release. So is the end of the stream before the answer is whole, or before the request was written if the answer has no length. The call may have run (502). An answer with a length stays valid then, and the rest of the request is sent unchanged.

--- a/src/jasmineramp/mesh/calls.py
+++ b/src/jasmineramp/mesh/calls.py
@@ -14,6 +14,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 MIN_SERVER_ERROR = 500
+# Other statuses have no meaning: such a response tells nothing of the call.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # More answered calls of a request are not counted.
 MAX_PROGRESS = 64
 
@@ -93,6 +96,7 @@
 class Answer(msgspec.Struct, array_like=True, gc=False, tag=1):
     """Hold the complete response of an upstream."""
 
+    # Nodes of the previous release may send statuses up to 999.
     status: Annotated[int, msgspec.Meta(ge=200, le=999)]
     reason: bytes
     headers: Headers
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -7,6 +7,8 @@
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.mesh.calls import (
+    MAX_STATUS,
+    Answer,
     CallResult,
     UpstreamCall,
     not_run_failure,
@@ -90,6 +92,9 @@
                 RefusalCode.internal_error, 'unexpected reply frame'
             )
         )
-    return SendOutcome(
-        frame.result, frame.load, frame.is_starved, frame.has_room
-    )
+    result = frame.result
+    if isinstance(result, Answer) and result.status > MAX_STATUS:
+        result = run_unknown_failure(
+            RefusalCode.upstream_lost, f'invalid status {result.status}'
+        )
+    return SendOutcome(result, frame.load, frame.is_starved, frame.has_room)
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_http.py
@@ -8,7 +8,13 @@
 import httptools
 
 from jasmineramp.clock import MILLIS_PER_SECOND
-from jasmineramp.mesh.calls import Answer, Headers, ResponseHead
+from jasmineramp.mesh.calls import (
+    MAX_STATUS,
+    MIN_STATUS,
+    Answer,
+    Headers,
+    ResponseHead,
+)
 from jasmineramp.mesh.receive_limits import (
     RESERVATION_STEP_BYTES,
     SMALL_BODY_BYTES,
@@ -126,8 +132,13 @@
         self.buffer.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail(BrokenExchangeError('malformed response'))
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # The context is the exception that a callback raised.
+            cause = error.__context__ or error
+            self._fail(BrokenExchangeError(f'malformed response: {cause}'))
             return
         if self.exchange is not None:
             self._check_limits()
@@ -136,9 +147,20 @@
             self.close()
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the connection's end."""
+        """Complete a response that is delimited by the connection's end.
+
+        Any other response can no longer become whole. Nor is one whole that
+        ends without a length before the request was written: an instance that
+        breaks down ends its stream like that.
+        """
         self.keep_alive = False
-        if self.has_head and not self.has_framing and self.exchange is not None:
+        if self.exchange is None:
+            return False
+        if self.has_framing or not self.has_head:
+            self._fail_ended('end of stream')
+        elif self.transport.get_write_buffer_size():
+            self._fail_ended('end of stream before the request was written')
+        else:
             self._complete()
         return False
 
@@ -147,12 +169,8 @@
         self.is_open = False
         self.pool.discard(self)
         self._free_buffer()
-        if self.exchange is None:
-            return
-        if self.is_reused and not self.has_received:
-            self._fail(StaleConnectionError('reused connection was closed'))
-        else:
-            self._fail(BrokenExchangeError(f'connection lost: {exc}'))
+        if self.exchange is not None:
+            self._fail_ended(str(exc))
 
     def on_message_begin(self) -> None:
         """Start a response."""
@@ -182,6 +200,8 @@
     def on_headers_complete(self) -> None:
         """Note the status; a bodiless one needs no length header."""
         self.status = self.parser.get_status_code()
+        if not MIN_STATUS <= self.status <= MAX_STATUS:
+            raise BrokenExchangeError(f'invalid status {self.status:03}')
         # An informational response (1xx) is not the head of the answer.
         self.has_head = self.status >= 200  # noqa: PLR2004
         if self.status in _BODILESS_STATUSES:
@@ -278,6 +298,12 @@
             exchange.future.set_result((answer, head))
         self.pool.release(self)
 
+    def _fail_ended(self, cause: str) -> None:
+        if self.is_reused and not self.has_received:
+            self._fail(StaleConnectionError('reused connection was closed'))
+        else:
+            self._fail(BrokenExchangeError(f'connection lost: {cause}'))
+
     def _fail(self, error: Exception) -> None:
         exchange = self.exchange
         self.close()
--- a/tests/mesh/test_upstream_http.py
+++ b/tests/mesh/test_upstream_http.py
@@ -109,6 +109,23 @@
             with self.subTest(part=part):
                 self.assertEqual(await self.break_off(part), 502)
 
+    # Guards against a status that does not exist which is passed on, waited
+    # behind, or taken as a sign that the call has not run.
+    async def test_invalid_status_is_a_failure_at_once(self) -> None:
+        async def write_and_wait(_request: CallerRequest) -> None:
+            self.connection().transport.write(head)
+            await asyncio.Event().wait()
+
+        self.upstream.behave = write_and_wait
+        for status in (b'000', b'600'):
+            head = (
+                b'HTTP/1.1 %s X\r\n%sX-Jasmineramp-Not-Executed: 1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            ) % (status, SIGNATURE)
+            with self.subTest(status):
+                answered, _, _ = await self.fleet.call(0, '/buy/1', 'id-1')
+                self.assertEqual(answered, 502)
+
     async def test_answer_that_ends_in_its_head_after_another_one(
         self,
     ) -> None:
