--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -7,6 +7,8 @@
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.mesh.calls import (
+    MAX_STATUS,
+    Answer,
     CallResult,
     UpstreamCall,
     not_run_failure,
@@ -91,8 +93,13 @@
                 RefusalCode.internal_error, 'unexpected reply frame'
             )
         )
+    result = frame.result
+    if isinstance(result, Answer) and result.status > MAX_STATUS:
+        result = run_unknown_failure(
+            RefusalCode.upstream_lost, f'invalid status {result.status}'
+        )
     return SendOutcome(
-        frame.result,
+        result,
         frame.load,
         frame.is_starved,
         frame.has_room,
