Limit the calls to instances that are still cold

An instance that warms up crashes far below its usual rate, and the node beside it used all announced slots at once; the cold time of a heartbeat was decoded and ignored. Where a service has coldPerS, the gate now starts calls at that rate while the instance is cold, never more in 1.3 s than the bound allows in one second, refuses the rest at once as not run with a Retry-After that follows from the rate, and then doubles the rate every 0.5 s. Peers learn it from a frame and from load reports and space their calls. An instance counts as cold until it has said otherwise after a start of the node, after the end of an evacuation, and in the first heartbeat of a young start. An error in a row of services names the service.

--- a/src/jasmineramp/admission.py
+++ b/src/jasmineramp/admission.py
@@ -56,6 +56,31 @@
     retry_after: float | None = None
 
 
+class StartPacing:
+    """Decide when calls may start, besides the concurrency limit.
+
+    This one never delays a call. `interval_ms` is the time between two starts,
+    0 without a limit.
+    """
+
+    interval_ms: float = 0
+
+    def cell(self) -> tuple[str, str, float]:
+        """Return row, column and value of the table cell that limits."""
+        return '', '', 0
+
+    def may_start(self, now: Millis) -> bool:
+        """Return whether a call may start now."""
+        return True
+
+    def wait_ms(self, now: Millis) -> float:
+        """Return the time until a call may start."""
+        return 0
+
+    def started(self, now: Millis) -> None:
+        """Count a call that has started."""
+
+
 class AdmissionState:
     """Hold the running and queued calls of one instance."""
 
@@ -64,8 +89,10 @@
         limiter: Limiter,
         max_queue_wait_ms: float = MAX_QUEUE_WAIT_MS,
         max_queued_calls: int = MAX_QUEUED_CALLS,
+        pacing: StartPacing | None = None,
     ) -> None:
         self.limiter = limiter
+        self.pacing = pacing or StartPacing()
         self.max_queue_wait_ms = max_queue_wait_ms
         self.max_queued_calls = max_queued_calls
         self.service_times = ServiceTimes()
@@ -75,7 +102,16 @@
 
     def expected_wait_ms(self) -> float:
         """Return the expected wait of a call behind the whole queue in ms."""
-        return self.queue.work_ms / self.limiter.limit
+        return max(
+            self.queue.work_ms / self.limiter.limit,
+            len(self.queue.entries) * self.pacing.interval_ms,
+        )
+
+    def may_start(self, now: Millis) -> bool:
+        """Return whether one more call may run."""
+        return len(
+            self.running
+        ) + 1 <= self.limiter.limit and self.pacing.may_start(now)
 
     def fill_ratio(self) -> float:
         """Return the fill ratio of the queue; above 1 it evicts calls."""
@@ -104,19 +140,21 @@
     if now + cost_ms > call.deadline:
         return [_refuse_deadline(call, cost_ms, now)]
     entry = queue.create_entry(call, cost_ms, now)
-    if not queue.entries and len(state.running) + 1 <= state.limiter.limit:
+    if not queue.entries and state.may_start(now):
         return [_start(state, entry, now)]
+    max_wait_ms = min(call.max_wait_ms, state.max_queue_wait_ms)
+    if state.pacing.wait_ms(now) > max_wait_ms:
+        return [_refuse_overload(state, entry, now)]
     wait_ms = _expected_wait_ms(state, entry, now)
     if now + wait_ms + cost_ms > call.deadline:
         return [_refuse_deadline(call, wait_ms + cost_ms, now)]
     if call.max_wait_ms < state.max_queue_wait_ms:
         ahead_ms = queue.work_ahead_ms(entry) / state.limiter.limit
         if ahead_ms > call.max_wait_ms:
-            return [_refuse_overload(state, entry)]
+            return [_refuse_overload(state, entry, now)]
     queue.insert(entry)
     decisions = _dispatch(state, now)
-    while state.fill_ratio() > 1:
-        decisions.append(_evict(state))
+    decisions.extend(evict_excess(state, now))
     for_call = [decision for decision in decisions if decision.call is call]
     for_others = [
         decision for decision in decisions if decision.call is not call
@@ -157,7 +195,7 @@
             decisions.append(_refuse_deadline(entry.call, entry.cost_ms, now))
         elif now - entry.state_since >= entry.call.max_wait_ms:
             state.queue.remove(entry)
-            decisions.append(_refuse_overload(state, entry))
+            decisions.append(_refuse_overload(state, entry, now))
         elif entry.state_since <= arrival_cutoff:
             overdue_importance = max(overdue_importance, entry.call.importance)
     # Calls that are less important than an overdue call queue behind it.
@@ -169,12 +207,20 @@
             and queued.call.importance == overdue_importance
         )
         if is_overdue or queued.call.importance < overdue_importance:
-            decisions.append(_refuse_overload(state, queued))
+            decisions.append(_refuse_overload(state, queued, now))
             state.queue.remove(queued)
     state.queue.remove_idle_shares()
     return decisions
 
 
+def evict_excess(state: AdmissionState, now: Millis) -> list[Decision]:
+    """Refuse the calls that the queue is too long for."""
+    decisions: list[Decision] = []
+    while state.queue.entries and state.fill_ratio() > 1:
+        decisions.append(_evict(state, now))
+    return decisions
+
+
 def withdraw(
     state: AdmissionState,
     predicate: Callable[[QueuedCall], bool],
@@ -318,13 +364,14 @@
     entry.state_since = now
     state.running[entry.call.call_id] = entry
     state.limiter.started(now)
+    state.pacing.started(now)
     return Start(entry.call)
 
 
 def _dispatch(state: AdmissionState, now: Millis) -> list[Decision]:
     queue = state.queue
     decisions: list[Decision] = []
-    while queue.entries and len(state.running) + 1 <= state.limiter.limit:
+    while queue.entries and state.may_start(now):
         entry = queue.next_entry()
         queue.remove(entry)
         if now + entry.cost_ms > entry.call.deadline:
@@ -334,9 +381,11 @@
     return decisions
 
 
-def _evict(state: AdmissionState) -> Refuse:
+def _evict(state: AdmissionState, now: Millis) -> Refuse:
     entry, among_workspaces = state.queue.eviction_candidate()
-    refusal = _refuse_overload(state, entry, among_workspaces=among_workspaces)
+    refusal = _refuse_overload(
+        state, entry, now, among_workspaces=among_workspaces
+    )
     state.queue.remove(entry)
     return refusal
 
@@ -344,10 +393,25 @@
 def _refuse_overload(
     state: AdmissionState,
     entry: QueueEntry,
+    now: Millis,
     *,
     among_workspaces: bool = False,
 ) -> Refuse:
     call = entry.call
+    interval_ms = state.pacing.interval_ms
+    if interval_ms:
+        row, column, limit = state.pacing.cell()
+        others = state.queue.entries.keys() - {call.call_id}
+        queued_ms = len(others) * interval_ms
+        return Refuse(
+            call,
+            RefusalCode.overloaded,
+            row=row,
+            column=column,
+            limit=limit,
+            # The queued calls start before one that returns.
+            retry_after=state.pacing.wait_ms(now) + queued_ms,
+        )
     return Refuse(
         call,
         RefusalCode.overloaded,
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -161,6 +161,13 @@
         routing.put_instance(
             self.routes, changed.to_instance(), self.clock.now()
         )
+        routing.record_cold(
+            self.routes,
+            frame.node,
+            frame.cold_per_s,
+            frame.cold_ms,
+            self.clock.now(),
+        )
 
     def _on_peer_change(self, node: NodeId, reason: str) -> None:
         self._update_unreachable()
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -24,6 +24,7 @@
     not_run_failure,
     run_unknown_failure,
 )
+from jasmineramp.mesh.cold_limit import ColdLimit, ColdRule
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.evacuations import DomainState
@@ -81,7 +82,9 @@
         self.metrics = metrics
         self.log = log
         self.clock = clock
-        self.admission = AdmissionState(SlotLimiter(1))
+        self.cold = ColdLimit(ColdRule())
+        self.admission = AdmissionState(SlotLimiter(1), pacing=self.cold)
+        self.release_timer: asyncio.TimerHandle | None = None
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
         self.call_ids = itertools.count()
         self.is_node_stopping = False
@@ -93,10 +96,19 @@
             admission.resize(self.admission, slots, None, self.clock.now())
         )
 
+    def hold_back(self) -> None:
+        """Refuse the queued calls that a cold instance has no room for."""
+        now = self.clock.now()
+        self.cold.wait_ms(now)
+        self._apply(admission.evict_excess(self.admission, now))
+
     def set_domain_state(self, state: DomainState) -> None:
         """Refuse queued and new calls unless the failure domain is open."""
         if state is self.domain_state:
             return
+        if self.is_evacuated():
+            # It may have turned cold before the operators ended it.
+            self.cold.await_announcement()
         self.domain_state = state
         if state is not DomainState.open:
             self.drain()
@@ -124,13 +136,20 @@
         """Return the load report that peers use for routing."""
         state = self.admission
         queued = len(state.queue.entries)
+        now = self.clock.now()
+        cold_ms = self.cold.remaining_ms(now)
+        if cold_ms and not queued and not self.cold.may_start(now):
+            # Peers take it for full.
+            queued = 1
         load_threshold = int(state.limiter.limit * LOAD_THRESHOLD_FRACTION)
         excess_calls = max(0, len(state.running) - load_threshold)
         return LoadReport(
             queued + excess_calls,
-            admission.capacity(state),
-            admission.shed_level(state, self.clock.now()),
+            self.cold.rule.per_s if cold_ms else admission.capacity(state),
+            admission.shed_level(state, now),
             self.accepts_calls() and self.domain_state is DomainState.open,
+            self.cold.rule.per_s if cold_ms else 0,
+            cold_ms,
         )
 
     def accepts_calls(self) -> bool:
@@ -161,6 +180,8 @@
         decisions = admission.offer(self.admission, queued, now)
         refused = await self._wait_for_start(call_id, decisions)
         if refused is not None:
+            if self.cold.is_limited(self.clock.now()):
+                self.metrics.cold_refusals += 1
             self._log_refusal(call, refused, self.clock.now() - now)
             return refused
         started = self.clock.now()
@@ -192,6 +213,7 @@
             running=len(self.admission.running),
             limit=self.admission.limiter.limit,
             queued=len(self.admission.queue.entries),
+            cold_ms=round(self.cold.remaining_ms(self.clock.now())),
         )
 
     def _log_failure(
@@ -296,6 +318,22 @@
                 future.set_result(failure_of(decision))
             else:
                 future.set_result(None)
+        self._schedule_release()
+
+    def _schedule_release(self) -> None:
+        """Start queued calls when the instance has room for the next one."""
+        if self.release_timer is not None or not self.admission.queue.entries:
+            return
+        now = self.clock.now()
+        wait_ms = self.cold.wait_ms(now)
+        if wait_ms:
+            self.release_timer = asyncio.get_running_loop().call_later(
+                wait_ms / MILLIS_PER_SECOND, self._release
+            )
+
+    def _release(self) -> None:
+        self.release_timer = None
+        self.expire()
 
     async def _send(self, running: RunningCall, deadline: Millis) -> CallResult:
         call = running.call
@@ -315,6 +353,7 @@
                 )
         except BrokenExchangeError as error:
             return self._fail_exchange(call, error)
+        self.cold.started(self.clock.now())
         running.mark_repeat()
         self.metrics.repeats[call.service] += 1
         self.log.write(
@@ -347,6 +386,7 @@
             call.is_idempotent
             and self.record.is_ready()
             and self.domain_state is DomainState.open
+            and self.cold.may_start(self.clock.now())
             and self.repeat_budget.take(call.importance)
         )
 
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -74,6 +74,11 @@
         for label, count in counter.items():
             family.add_metric((label,), count)
         yield family
+    yield CounterMetricFamily(
+        f'{PREFIX}cold_refusals',
+        'Calls refused because the instance is cold or warming up.',
+        value=metrics.cold_refusals,
+    )
     for name, text, histogram in (
         ('call_seconds', 'Duration of answered calls.', metrics.call_time),
         (
@@ -117,5 +122,6 @@
         ('nodes', gauges.nodes),
         ('table_age_seconds', gauges.table_age_ms / 1000),
         ('loop_lag_seconds', gauges.loop_lag_ms / 1000),
+        ('cold_seconds', gauges.cold_ms / 1000),
     ):
         yield GaugeMetricFamily(f'{PREFIX}{name}', name, value=gauge_value)
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -243,6 +243,7 @@
         self.freshness.apply_ms = bounds.apply_ms
         self.freshness.revoke_ms = bounds.revoke_ms
         self.evacuations.set_bound(bounds.evac_ms)
+        self.local_upstream.reload(self.settings)
         self.admission.service = settings.service
         self.log.write('settings_reloaded', service=settings.service)
 
@@ -301,6 +302,7 @@
         self.admission.table = table
         self.entry.responder.version = table.version
         self.caller_limits = self._bound_by_memory(table.limits)
+        self.local_upstream.apply_services(table.services)
 
     def _bound_by_memory(self, limits: CallerLimits) -> CallerLimits:
         body_bytes = min(limits.max_body_bytes, self.receive_limits.body_bytes)
@@ -332,6 +334,7 @@
             self.gate.pressure.admitted_shares(),
             self.store.counts,
             self.evacuations.evacuated(),
+            self.gate.cold.remaining_ms(self.clock.now()),
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
@@ -361,6 +364,7 @@
 
     def _tick(self) -> None:
         self.gate.expire()
+        self.local_upstream.report_coldness()
         self.gate.pressure.adapt()
         self.fleet.check_links()
         self.ticks += 1
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -56,6 +56,7 @@
     admitted_share: Mapping[int, float]
     store_calls: Mapping[tuple[str, str], int]
     evacuated: frozenset[DomainId] = frozenset()
+    cold_ms: float = 0
 
 
 class NodeMetrics:
@@ -67,6 +68,7 @@
         self.repeats: Counter[str] = Counter()
         self.cut_answers: Counter[str] = Counter()
         self.domain_refusals: Counter[str] = Counter()
+        self.cold_refusals = 0
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/mesh/node_settings.py
+++ b/src/jasmineramp/mesh/node_settings.py
@@ -16,7 +16,8 @@
     draining upstream gets no new calls; the node only reports it. grace_ms:
     from SIGTERM to SIGKILL. The retry ratio and slack limit the retries to a
     service over all nodes. evac_ms: longest time until an evacuated failure
-    domain gets no calls; 0 if evacuations are not in use.
+    domain gets no calls; 0 if evacuations are not in use. In any one second a
+    cold instance gets at most its cold rate times cold_over, plus cold_slack.
     """
 
     apply_ms: float = 2_000
@@ -26,6 +27,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 40
     evac_ms: float = 0
+    cold_over: float = 1.5
+    cold_slack: float = 8
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -1,12 +1,15 @@
 """Handle and publish the announcements of the local upstream."""
 
+from collections.abc import Mapping
 from http import HTTPStatus
 
 from jasmineramp import routing
-from jasmineramp.clock import Clock, Millis, read_unix_ms
+from jasmineramp.clock import Clock, Millis, later, read_unix_ms
+from jasmineramp.ids import ServiceName
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.caller_http import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
+from jasmineramp.mesh.cold_limit import ColdRule, is_fresh
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.directory import MemberEntry
@@ -16,6 +19,7 @@
 from jasmineramp.mesh.peer_sessions import PeerSession
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.registration import Registration
+from jasmineramp.mesh.route_table import ServiceRow
 from jasmineramp.mesh.store import Store
 from jasmineramp.mesh.upstream_state import Announcement, Departure
 from jasmineramp.routing import RoutingState
@@ -23,6 +27,8 @@
 # An announcement must be acknowledged within 1 s.
 STORE_WRITE_TIMEOUT_MS = 800
 BEFORE_FIRST_SEQUENCE = -1
+# Peers are told of a cold time that has grown by more than this.
+COLD_CHANGE_MS = 500
 
 
 class LocalUpstream:
@@ -52,6 +58,11 @@
         )
         self.registration.on_restored = self._restore
         gate.on_lost = self._on_lost
+        self.services: Mapping[ServiceName, ServiceRow] = {}
+        # Start of the instance that last announced itself to this process.
+        self.announced_start = ('', 0)
+        self.was_cold = False
+        self.cold_reported_until = Millis(0)
 
     async def handle_announcement(
         self, request: CallerRequest
@@ -110,13 +121,92 @@
                 self.registration.mark_changed()
         if not self.gate.accepts_calls():
             session.write(self._state_frame(UpstreamState.draining))
+        elif self.gate.cold.is_cold(self.clock.now()):
+            session.write(self._state_frame(self.record.state))
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Apply changed settings."""
+        self.settings = settings
+        self._apply_cold_rule()
+
+    def apply_services(
+        self, services: Mapping[ServiceName, ServiceRow]
+    ) -> None:
+        """Apply the rows of all services."""
+        self.services = services
+        self._apply_cold_rule()
+
+    def report_coldness(self) -> None:
+        """Tell gate, peers and routes when the upstream turns cold or warm."""
+        now = self.clock.now()
+        is_cold = self.gate.cold.is_cold(now)
+        cold_ms = self.gate.cold.remaining_ms(now)
+        is_longer = now + cold_ms > self.cold_reported_until + COLD_CHANGE_MS
+        if is_cold is self.was_cold and not (is_cold and is_longer):
+            return
+        self.was_cold = is_cold
+        self.cold_reported_until = later(now, cold_ms)
+        per_s = self.gate.cold.rule.per_s
+        self.log.write(
+            'instance_cold' if is_cold else 'instance_warm',
+            instance=self._instance_name(),
+            cold_ms=round(cold_ms),
+            cold_per_s=per_s,
+            is_announced=not self.gate.cold.awaits_announcement,
+        )
+        self.gate.hold_back()
+        if self.gate.accepts_calls():
+            self.notify_peers(self.record.state)
+        routing.record_cold(
+            self.routes, self.settings.node, per_s, cold_ms, now
+        )
+
+    def _apply_cold_rule(self) -> None:
+        current = self.record.current
+        service = self.settings.service if current is None else current.service
+        row = self.services.get(service, ServiceRow(service))
+        bounds = self.settings.bounds
+        self.gate.cold.set_rule(
+            ColdRule(
+                row.cold_per_s,
+                row.cold_start_ms,
+                bounds.cold_over,
+                bounds.cold_slack,
+                service,
+            )
+        )
+        self.report_coldness()
+
+    def _apply_coldness(self, announcement: Announcement, now: Millis) -> None:
+        """Apply the cold time of an announcement that is in force."""
+        start = (announcement.instance, announcement.born)
+        is_first = start != self.announced_start
+        self.announced_start = start
+        cold = self.gate.cold
+        if (
+            is_first
+            and not announcement.cold_ms
+            and is_fresh(announcement.born, read_unix_ms(), cold.rule)
+        ):
+            # It may not know yet that it is cold.
+            cold.await_announcement()
+        else:
+            cold.announce(announcement.cold_ms, now)
+        self._apply_cold_rule()
 
     def has_unsent_replies(self) -> bool:
         """Return whether a reply to a peer is still in a write buffer."""
         return any(session.has_unsent_bytes() for session in self.sessions)
 
     def _state_frame(self, state: UpstreamState) -> StateChanged:
-        return StateChanged(self.settings.node, self._instance_name(), state)
+        cold_ms = self.gate.cold.remaining_ms(self.clock.now())
+        return StateChanged(
+            self.settings.node,
+            self._instance_name(),
+            state,
+            self.gate.cold.rule.per_s if cold_ms else 0,
+            cold_ms,
+        )
 
     def _on_lost(self) -> None:
         self.log.write('upstream_lost', instance=self._instance_name())
@@ -160,7 +250,10 @@
                 address=announcement.address,
             )
             return False
-        return self.record.announce(announcement, now)
+        changed = self.record.announce(announcement, now)
+        if self.record.current is announcement:
+            self._apply_coldness(announcement, now)
+        return changed
 
     def _restore(self, entry: MemberEntry | None) -> None:
         registered: Announcement | None = None
@@ -177,7 +270,12 @@
                 BEFORE_FIRST_SEQUENCE,
                 0,
             )
-        self.record.restore(registered, self.clock.now())
+        now = self.clock.now()
+        self.record.restore(registered, now)
+        current = self.record.current
+        if current is not None and current is not registered:
+            self._apply_coldness(current, now)
+        self._apply_cold_rule()
         self.log.write(
             'upstream_restored',
             instance=self._instance_name(),
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from jasmineramp.decoding import Count, DurationMs, ForeignDecoder
+from jasmineramp.decoding import Count, DurationMs, ForeignDecoder, Rate
 from jasmineramp.ids import NodeId, WorkspaceId
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import UpstreamState
@@ -110,11 +110,17 @@
 
 
 class StateChanged(Frame, tag=9):
-    """Announce an upstream state to peers before its store entry is read."""
+    """Announce an upstream state to peers before its store entry is read.
+
+    An upstream that is cold takes `cold_per_s` calls a second for `cold_ms`
+    more.
+    """
 
     node: NodeId
     instance: str
     state: UpstreamState
+    cold_per_s: Rate = 0
+    cold_ms: DurationMs = 0
 
 
 class UpdateRequest(Frame, tag=10):
--- a/src/jasmineramp/mesh/route_table.py
+++ b/src/jasmineramp/mesh/route_table.py
@@ -58,6 +58,18 @@
     rank: int | None
 
 
+class ServiceRow(msgspec.Struct, frozen=True):
+    """Hold the row of a service.
+
+    A cold instance tolerates `cold_per_s` calls a second, any number if it is
+    0. `cold_start_ms` is how long an instance is cold after its start.
+    """
+
+    name: ServiceName
+    cold_per_s: float = 0
+    cold_start_ms: float = 0
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """Hold the limits of callers' requests; sizes in bytes, times in ms."""
 
@@ -82,6 +94,7 @@
         workspaces: Mapping[WorkspaceId, RankedWorkspace] | None = None,
         keys: tuple[KeyRow, ...] = (),
         limits: CallerLimits | None = None,
+        services: Mapping[ServiceName, ServiceRow] | None = None,
         serial: int = 0,
     ) -> None:
         self.revision = revision
@@ -91,6 +104,7 @@
         self.workspaces = workspaces or {}
         self.has_workspaces = bool(self.workspaces)
         self.limits = limits or CallerLimits()
+        self.services = services or {}
         self.keys = KeyRing(Table(keys=keys))
         self.by_host: dict[str, dict[str, RouteRow]] = {}
         for route in routes:
--- a/src/jasmineramp/platform/check_command.py
+++ b/src/jasmineramp/platform/check_command.py
@@ -65,6 +65,12 @@
             f'{route.kind.value}, timeout {route.timeout_ms:g} ms, '
             f'rank {route.rank}, {route.attempts} attempts'
         )
+    for service in table.services.values():
+        if service.cold_per_s:
+            lines.append(
+                f'service {service.name}: cold for '
+                f'{service.cold_start_ms:g} ms, {service.cold_per_s:g}/s then'
+            )
     for workspace in table.workspaces.values():
         row = workspace.row
         rate = f'{row.rate:g}/s, burst {row.burst:g}' if row.rate else 'no rate'
--- a/src/jasmineramp/platform/configuration.py
+++ b/src/jasmineramp/platform/configuration.py
@@ -20,6 +20,7 @@
     RankedWorkspace,
     RouteRow,
     RouteTable,
+    ServiceRow,
     ServiceShare,
 )
 from jasmineramp.platform.wire_values import read_duration_ms
@@ -77,14 +78,22 @@
     burst: Rate = 0
 
 
+class _WireService(msgspec.Struct, rename='camel'):
+    cold_per_s: Rate = msgspec.field(name='coldPerS', default=0)
+    cold_start: str = '0ms'
+
+
 class _WireConfiguration(msgspec.Struct):
     version: str
     routes: dict[str, _WireRoute]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
     tenants: dict[str, _WireTenant] = {}
+    # Decoded one by one, so that an error names the row.
+    services: dict[str, msgspec.Raw] = {}
 
 
 _decoder = ForeignDecoder(msgspec.json.Decoder(_WireConfiguration))
+_service_decoder = ForeignDecoder(msgspec.json.Decoder(_WireService))
 
 
 def decode_configuration(value: bytes, revision: Revision) -> RouteTable:
@@ -105,6 +114,10 @@
         workspaces=dict(_read_workspaces(wire.tenants)),
         keys=tuple(_read_keys(wire.tenants)),
         limits=limits,
+        services={
+            ServiceName(name): _read_service(name, content)
+            for name, content in wire.services.items()
+        },
         serial=_read_serial(wire.version),
     )
 
@@ -122,6 +135,15 @@
     return int(version, 16)
 
 
+def _read_service(name: str, content: msgspec.Raw) -> ServiceRow:
+    try:
+        wire = _service_decoder.decode(bytes(content))
+        cold_start_ms = read_duration_ms(wire.cold_start)
+    except ValueError as error:
+        raise ValueError(f'service {name}: {error}') from None
+    return ServiceRow(ServiceName(name), wire.cold_per_s, cold_start_ms)
+
+
 def _read_route(name: str, wire: _WireRoute) -> RouteRow:
     if wire.weighted_targets:
         targets = tuple(
--- a/src/jasmineramp/platform/settings.py
+++ b/src/jasmineramp/platform/settings.py
@@ -1,5 +1,6 @@
 """Decode the settings file that the platform writes for a node."""
 
+import math
 import pathlib
 from collections.abc import Mapping
 
@@ -78,6 +79,12 @@
             fields, 'terms.bounds.retryBudgetSlack', default.retry_slack
         ),
         evac_ms=_read_duration_ms(fields, 'terms.bounds.evac', default.evac_ms),
+        cold_over=_read_factor(
+            fields, 'terms.bounds.coldOver', default.cold_over
+        ),
+        cold_slack=_read_factor(
+            fields, 'terms.bounds.coldSlack', default.cold_slack
+        ),
     )
 
 
@@ -140,6 +147,14 @@
         ) from None
 
 
+def _read_factor(fields: Mapping[str, str], name: str, default: float) -> float:
+    """Return a finite number that is not negative."""
+    number = _read_number(fields, name, default)
+    if not 0 <= number < math.inf:
+        raise SettingsError(name, f'{fields[name]!r} is negative', _REMEDY)
+    return number
+
+
 def _read_size(
     fields: Mapping[str, str], name: str, default_bytes: int, unit: int = 1
 ) -> int:
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -6,11 +6,12 @@
 from collections.abc import Iterable
 from itertools import accumulate
 
-from jasmineramp.clock import Millis
+from jasmineramp.clock import MILLIS_PER_SECOND, Millis
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
 from jasmineramp.routing_targets import (
+    MAX_COLD_INTERVAL_MS,
     SLOW_START_MS,
     Pool,
     Service,
@@ -185,6 +186,7 @@
         if target is None:
             return None
     target.in_flight += 1
+    target.count_cold_call(now)
     return target.instance
 
 
@@ -215,6 +217,7 @@
         return
     if load is not None:
         _record_report(service, target, load, now)
+        record_cold(state, node, load.cold_per_s, load.cold_ms, now)
     if outcome is CallOutcome.succeeded:
         target.failure_rate -= FAILURE_SMOOTHING * target.failure_rate
         service.failure_rate -= (
@@ -224,6 +227,38 @@
         _record_failure(service, target, now)
 
 
+def record_cold(
+    state: RoutingState,
+    node: NodeId,
+    per_s: float,
+    cold_ms: float,
+    now: Millis,
+) -> None:
+    """Limit the calls to an instance that is cold; end the limit if not."""
+    target = state.targets.get(node)
+    if target is None or not (per_s or now < target.cold_limit_until):
+        return
+    first_interval_ms = float(0)
+    if per_s:
+        # The nodes of its domain, which call it most, learn it at once and
+        # must not call it at once.
+        domain = target.instance.domain
+        nodes = sum(
+            each.instance.domain == domain for each in state.targets.values()
+        )
+        mean_ms = nodes * MILLIS_PER_SECOND / per_s
+        first_interval_ms = min(
+            MAX_COLD_INTERVAL_MS, mean_ms * state.random.random() * 2
+        )
+    changed = target.limit_cold(per_s, cold_ms, first_interval_ms, now)
+    service = state.services.get(target.instance.upstream.service)
+    if service is not None:
+        service.rebuild_pools_at = min(
+            service.rebuild_pools_at,
+            now if changed else target.cold_limit_until,
+        )
+
+
 def has_untried_instance(
     state: RoutingState,
     service_name: ServiceName,
@@ -308,7 +343,9 @@
     best: Target | None = None
     for _ in range(SAMPLING_ATTEMPTS):
         target = _draw(rng, pool, now)
-        if target is best or target is None or not _is_usable(target, exclude):
+        if target is best or target is None:
+            continue
+        if target.is_paced(now) or not _is_usable(target, exclude):
             continue
         if best is not None:
             return target if target.load(now) < best.load(now) else best
@@ -357,8 +394,9 @@
     now: Millis,
 ) -> Target | None:
     # An ejected instance is better than none, but a draining one is not.
+    # A cold one refuses with the time after which it has room.
     ready = [each for each in service.targets.values() if each.is_ready()]
-    return _least_loaded(ready, exclude, now)
+    return _least_loaded(ready, exclude, now, is_last_resort=True)
 
 
 def _is_usable(target: Target, exclude: frozenset[NodeId]) -> bool:
@@ -369,8 +407,15 @@
     targets: list[Target],
     exclude: frozenset[NodeId],
     now: Millis,
+    *,
+    is_last_resort: bool = False,
 ) -> Target | None:
-    usable = [each for each in targets if _is_usable(each, exclude)]
+    usable = [
+        each
+        for each in targets
+        if _is_usable(each, exclude)
+        and (is_last_resort or not each.is_paced(now))
+    ]
     return min(usable, key=lambda each: each.load(now), default=None)
 
 
@@ -382,6 +427,9 @@
     while len(ejected) * 2 > len(ready):
         ejected.pop(0).ejected_until = 0
     set_weights(ready)
+    cold = [each for each in ready if now < each.cold_limit_until]
+    for each in cold:
+        each.weight = min(each.weight, each.cold_per_s)
     by_domain: dict[DomainId, list[Target]] = {}
     for target in ready:
         if now >= target.ejected_until:
@@ -394,7 +442,10 @@
     )
     service.spare_slots_valid_until = 0
     service.rebuild_pools_at = min(
-        (each.ejected_until for each in ejected),
+        (
+            *(each.ejected_until for each in ejected),
+            *(each.cold_limit_until for each in cold),
+        ),
         default=float('inf'),
     )
 
@@ -412,8 +463,12 @@
     if not load.healthy:
         target.queued = max(target.queued, 1)
     change = abs(load.capacity - target.capacity)
+    if now < target.cold_limit_until:
+        target.adapt_cold_interval(is_full=load.queued > 0)
     if (
         load.capacity > 0
+        # A cold instance serves its measured capacity again afterwards.
+        and not load.cold_per_s
         and change > MIN_CAPACITY_CHANGE_RATIO * target.capacity
     ):
         target.capacity = load.capacity
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -9,6 +9,12 @@
 SLOW_START_MS = 10_000
 MIN_SLOW_START_FACTOR = 0.1
 MAX_CAPACITY_FACTOR = 8
+# A node calls a cold instance at an interval that grows when the instance has
+# no room and shrinks when it has, as it does not know who else sends.
+COLD_INTERVAL_GROWTH = 1.5
+COLD_INTERVAL_DECAY = 0.7
+MIN_COLD_INTERVAL_MS = 50
+MAX_COLD_INTERVAL_MS = 10_000
 # The local domain is slow if its rate per slot is below this ratio of the
 # median of the other domains. Its calls take longer even in a free slot.
 SLOW_DOMAIN_RATIO = 0.6
@@ -20,6 +26,9 @@
     __slots__ = (
         'announced_weight',
         'capacity',
+        'cold_interval_ms',
+        'cold_limit_until',
+        'cold_per_s',
         'cold_until',
         'connections',
         'ejected_until',
@@ -29,6 +38,7 @@
         'instance',
         'is_evacuated',
         'last_ejection_at',
+        'next_cold_call_at',
         'node',
         'queued',
         'report_valid_until',
@@ -46,6 +56,10 @@
     def restart(self, instance: Instance, cold_until: float) -> None:
         """Reset all state except the calls in flight."""
         self.cold_until = cold_until
+        self.cold_per_s = float(0)
+        self.cold_limit_until = float(0)
+        self.cold_interval_ms = float(0)
+        self.next_cold_call_at = float(0)
         self.failure_rate = float(0)
         self.ejected_until = float(0)
         self.last_ejection_at = float(0)
@@ -73,11 +87,52 @@
 
     def slow_start_factor(self, now: Millis) -> float:
         """Return the fraction of the weight that counts during slow start."""
-        if now >= self.cold_until:
+        if now >= self.cold_until or now < self.cold_limit_until:
+            # The weight of a cold instance is its cold rate.
             return 1
         elapsed = SLOW_START_MS - (self.cold_until - now)
         return max(MIN_SLOW_START_FACTOR, elapsed / SLOW_START_MS)
 
+    def limit_cold(
+        self,
+        per_s: float,
+        cold_ms: float,
+        first_interval_ms: float,
+        now: Millis,
+    ) -> bool:
+        """Apply what a cold instance tolerates; return whether it changed."""
+        was_cold = now < self.cold_limit_until
+        if not per_s or not cold_ms:
+            if was_cold:
+                self.cold_limit_until = now
+                self.cold_until = now + SLOW_START_MS
+            return was_cold
+        self.cold_limit_until = now + cold_ms
+        self.cold_until = self.cold_limit_until + SLOW_START_MS
+        if was_cold and per_s == self.cold_per_s:
+            return False
+        self.cold_per_s = per_s
+        self.cold_interval_ms = first_interval_ms
+        self.next_cold_call_at = now + first_interval_ms
+        return True
+
+    def is_paced(self, now: Millis) -> bool:
+        """Return whether this node has used its part of a cold instance."""
+        return now < self.cold_limit_until and now < self.next_cold_call_at
+
+    def count_cold_call(self, now: Millis) -> None:
+        """Count a call to the instance, if it is cold."""
+        if now < self.cold_limit_until:
+            self.next_cold_call_at = now + self.cold_interval_ms
+
+    def adapt_cold_interval(self, *, is_full: bool) -> None:
+        """Adapt the part of this node to what the instance has reported."""
+        factor = COLD_INTERVAL_GROWTH if is_full else COLD_INTERVAL_DECAY
+        self.cold_interval_ms = min(
+            MAX_COLD_INTERVAL_MS,
+            max(MIN_COLD_INTERVAL_MS, self.cold_interval_ms * factor),
+        )
+
     def load(self, now: Millis) -> float:
         """Return the calls in flight and queued, per unit of weight."""
         busy = float(self.in_flight)
--- a/tests/platform/test_check_command.py
+++ b/tests/platform/test_check_command.py
@@ -22,6 +22,7 @@
 platform.platform.address=127.0.0.1:6
 terms.bounds.drain=2500ms
 terms.bounds.evac=5000ms
+terms.bounds.coldSlack=4
 """
 
 
@@ -49,6 +50,10 @@
         self.assertIn('node n1 of orders in a', printed)
         self.assertIn('drain_ms 2500', printed)
         self.assertIn('evac_ms 5000', printed)
+        self.assertIn('cold_slack 4', printed)
+        wrong = SETTINGS.replace('coldSlack=4', 'coldSlack=-4')
+        _, printed = self.check('settings', wrong)
+        self.assertIn('terms.bounds.coldSlack', printed)
         wrong = SETTINGS.replace('127.0.0.1:6', 'nowhere')
         status, printed = self.check('settings', wrong)
         self.assertEqual(status, 2)
@@ -74,6 +79,21 @@
         for part in ('route buy', 'teleport', 'download'):
             self.assertIn(part, printed)
 
+    def test_cold_rates_are_printed_or_rejected_by_row(self) -> None:
+        """An error names the service and the field."""
+        for row, expected, part in (
+            ('"coldPerS":6.5,"coldStart":"9s"', 0, 'cold for 9000 ms, 6.5/s'),
+            ('"coldPerS":-1', 2, 'service orders: Expected `float` >= 0'),
+            ('"coldPerS":"much"', 2, 'coldPerS'),
+            ('"coldStart":"soon"', 2, "service orders: 'soon'"),
+        ):
+            content = json.dumps(CONFIGURATION).replace(
+                '"maxConnections": 100', row
+            )
+            status, printed = self.check('table', content)
+            self.assertEqual(status, expected, printed)
+            self.assertIn(part, printed)
+
     def test_json_output_has_no_keys(self) -> None:
         """With --json the table is printed as JSON, without keys."""
         status, printed = self.check(
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -7,7 +7,7 @@
 ROOT = pathlib.Path(__file__).parents[2] / 'src' / 'jasmineramp'
 NAMES = re.compile(
     'x-jasmineramp-|kv-(txn|range|watch|key|lease|keep)|op/config'
-    '|op/evacuate|store-era|JASMINERAMP_BOOT|/readiness|/deregister|weightedTargets|appAddr',
+    '|op/evacuate|coldPerS|store-era|JASMINERAMP_BOOT|/readiness|/deregister|weightedTargets|appAddr',
     re.IGNORECASE,
 )
 IMPORT = re.compile(r'^(from|import) jasmineramp\.platform', re.MULTILINE)
