--- a/src/jasmineramp/load_reports.py
+++ b/src/jasmineramp/load_reports.py
@@ -14,8 +14,9 @@
     use, 0 if unknown. An instance that is not healthy counts as full. Busy are
     the running and the queued calls, the limit is how many can run at once, 0
     if unknown. The row time is the mean service time of one row at the
-    instance, 0 if unknown. Nodes of the release before neither send nor read
-    the fields behind `healthy`.
+    instance, 0 if unknown. An instance that is still cold takes `cold_per_s`
+    calls a second for `cold_ms` more. Nodes of the release before neither send
+    nor read the fields behind `healthy`.
     """
 
     queued: Count = 0
@@ -26,3 +27,5 @@
     limit: Count = 0
     timed_row: RowName = RowName('')
     row_time_ms: DurationMs = 0
+    cold_per_s: Rate = 0
+    cold_ms: DurationMs = 0
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -24,6 +24,7 @@
     not_run_failure,
     run_unknown_failure,
 )
+from jasmineramp.mesh.cold_limit import ColdLimit, ColdRule
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.evacuations import DomainState
@@ -83,11 +84,13 @@
         self.metrics = metrics
         self.log = log
         self.clock = clock
-        self.admission = AdmissionState(SlotLimiter(1))
+        self.cold = ColdLimit(ColdRule())
+        self.admission = AdmissionState(SlotLimiter(1), pacing=self.cold)
         self.row_times = RowTimeReporter(self.admission.service_times)
         self.retry_advisor = RetryAdvisor(
             self.admission, pressure, metrics, clock
         )
+        self.release_timer: asyncio.TimerHandle | None = None
         self.waiting: dict[CallId, asyncio.Future[Failure | None]] = {}
         self.call_ids = itertools.count()
         self.is_node_stopping = False
@@ -99,10 +102,19 @@
             admission.resize(self.admission, slots, None, self.clock.now())
         )
 
+    def hold_back(self) -> None:
+        """Refuse the queued calls that a cold instance has no room for."""
+        now = self.clock.now()
+        self.cold.wait_ms(now)
+        self._apply(admission.evict_excess(self.admission, now))
+
     def set_domain_state(self, state: DomainState) -> None:
         """Refuse queued and new calls unless the failure domain is open."""
         if state is self.domain_state:
             return
+        if self.is_evacuated():
+            # It may have turned cold before the operators ended it.
+            self.cold.await_announcement()
         self.domain_state = state
         if state is not DomainState.open:
             self.drain()
@@ -131,16 +143,24 @@
         state = self.admission
         now = self.clock.now()
         queued = len(state.queue.entries)
+        limit = int(state.limiter.limit)
+        cold_ms = self.cold.remaining_ms(now)
+        is_held_back = cold_ms > 0 and not self.cold.may_start(now)
+        if is_held_back:
+            # Peers take it for full.
+            queued = max(1, queued)
         load_threshold = int(state.limiter.limit * LOAD_THRESHOLD_FRACTION)
         excess_calls = max(0, len(state.running) - load_threshold)
         return LoadReport(
             queued + excess_calls,
-            admission.capacity(state),
+            self.cold.rule.per_s if cold_ms else admission.capacity(state),
             admission.shed_level(state, now),
             self.accepts_calls() and self.domain_state is DomainState.open,
-            len(state.running) + queued,
-            int(state.limiter.limit),
+            limit if is_held_back else len(state.running) + queued,
+            limit,
             *self.row_times.next(now),
+            self.cold.rule.per_s if cold_ms else 0,
+            cold_ms,
         )
 
     def accepts_calls(self) -> bool:
@@ -173,7 +193,10 @@
         refused = await self._wait_for_start(call_id, decisions)
         if refused is not None:
             waited_ms = self.clock.now() - now
-            self.retry_advisor.advise(call, refused, waited_ms)
+            if self.cold.is_limited(self.clock.now()):
+                self.metrics.cold_refusals += 1
+            else:
+                self.retry_advisor.advise(call, refused, waited_ms)
             self._log_refusal(call, refused, waited_ms)
             return refused
         started = self.clock.now()
@@ -206,6 +229,7 @@
             limit=self.admission.limiter.limit,
             queued=len(self.admission.queue.entries),
             retry_after_ms=failure.retry_after_ms,
+            cold_ms=round(self.cold.remaining_ms(self.clock.now())),
         )
 
     def _log_failure(
@@ -297,6 +321,22 @@
                 future.set_result(failure_of(decision))
             else:
                 future.set_result(None)
+        self._schedule_release()
+
+    def _schedule_release(self) -> None:
+        """Start queued calls when the instance has room for the next one."""
+        if self.release_timer is not None or not self.admission.queue.entries:
+            return
+        now = self.clock.now()
+        wait_ms = self.cold.wait_ms(now)
+        if wait_ms:
+            self.release_timer = asyncio.get_running_loop().call_later(
+                wait_ms / MILLIS_PER_SECOND, self._release
+            )
+
+    def _release(self) -> None:
+        self.release_timer = None
+        self.expire()
 
     async def _send(self, running: RunningCall, deadline: Millis) -> CallResult:
         call = running.call
@@ -316,6 +356,7 @@
                 )
         except BrokenExchangeError as error:
             return self._fail_exchange(call, error)
+        self.cold.started(self.clock.now())
         running.mark_repeat()
         self.metrics.repeats[call.service] += 1
         self.log.write(
@@ -348,6 +389,7 @@
             call.is_idempotent
             and self.record.is_ready()
             and self.domain_state is DomainState.open
+            and self.cold.may_start(self.clock.now())
             and self.repeat_budget.take(call.importance, call.progress)
         )
 
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -247,6 +247,7 @@
         self.freshness.apply_ms = bounds.apply_ms
         self.freshness.revoke_ms = bounds.revoke_ms
         self.evacuations.set_bound(bounds.evac_ms)
+        self.local_upstream.reload(self.settings)
         self.admission.service = settings.service
         self.log.write('settings_reloaded', service=settings.service)
 
@@ -305,6 +306,7 @@
         self.admission.table = table
         self.entry.responder.version = table.version
         self.caller_limits = self._bound_by_memory(table.limits)
+        self.local_upstream.apply_services(table.services)
 
     def _bound_by_memory(self, limits: CallerLimits) -> CallerLimits:
         body_bytes = min(limits.max_body_bytes, self.receive_limits.body_bytes)
@@ -338,6 +340,7 @@
             self.evacuations.evacuated(),
             self.routes.estimate_metrics.totals,
             self.routes.estimate_metrics.left_domain,
+            self.gate.cold.remaining_ms(self.clock.now()),
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
@@ -367,6 +370,7 @@
 
     def _tick(self) -> None:
         self.gate.expire()
+        self.local_upstream.report_coldness()
         self.gate.pressure.adapt()
         self.fleet.check_links()
         self.ticks += 1
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -59,6 +59,7 @@
     evacuated: frozenset[DomainId] = frozenset()
     use_totals: Mapping[ServiceName, UseTotals] = {}
     left_domain: Mapping[ServiceName, int] = {}
+    cold_ms: float = 0
 
 
 class NodeMetrics:
@@ -71,6 +72,7 @@
         self.cut_answers: Counter[str] = Counter()
         self.pipelined: Counter[str] = Counter()
         self.domain_refusals: Counter[str] = Counter()
+        self.cold_refusals = 0
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/routing_choice.py
+++ b/src/jasmineramp/routing_choice.py
@@ -45,9 +45,19 @@
     targets: list[Target],
     exclude: frozenset[NodeId],
     now: Millis,
+    *,
+    is_last_resort: bool = False,
 ) -> Target | None:
-    """Return the usable instance with the lowest load, None if none is."""
-    usable = [each for each in targets if _is_usable(each, exclude)]
+    """Return the usable instance with the lowest load, None if none is.
+
+    As a last resort it may be a cold one that this node has called just now.
+    """
+    usable = [
+        each
+        for each in targets
+        if _is_usable(each, exclude)
+        and (is_last_resort or not each.is_paced(now))
+    ]
     return min(usable, key=lambda each: each.load(now), default=None)
 
 
@@ -112,7 +122,9 @@
     best: Target | None = None
     for _ in range(SAMPLING_ATTEMPTS):
         target = _draw(rng, pool, now)
-        if target is best or target is None or not _is_usable(target, exclude):
+        if target is best or target is None:
+            continue
+        if target.is_paced(now) or not _is_usable(target, exclude):
             continue
         if best is not None:
             return target if target.load(now) < best.load(now) else best
