Avoid instances that stop replying; shorten the choice by use

An instance that hangs sends no report, so its last estimate neared the mean and it kept its share of the calls until they timed out. The time since the unanswered calls were sent now raises the estimate: in the test such an instance gets fewer than 30 of 200 calls and none after the first second.

The scan computes the mean of the domain once.

--- a/src/jasmineramp/load_estimates.py
+++ b/src/jasmineramp/load_estimates.py
@@ -34,6 +34,11 @@
 MIN_SUCCESS_RATE = 0.1
 # After this time without a further failure, an instance is tried again.
 FAILURE_LIFETIME_MS = 3_000
+# Without a reply, the time since the calls were sent, summed over them and in
+# turnovers, exceeds this by chance once in 150 times. An instance that hangs
+# exceeds it within 0.5 s at 6 calls a second of 160 ms.
+TOLERATED_SILENCE = 5.0
+USE_PER_SILENCE = 0.2
 # A local instance is left for one of another domain only at or above this
 # use, and only if the use of the other is lower by the margin: bytes between
 # domains are billed.
@@ -75,6 +80,7 @@
         'limit',
         'reported_at',
         'sent',
+        'sent_at_sum',
         'turnover_ms',
         'use',
     )
@@ -86,14 +92,21 @@
         self.reported_at = -math.inf
         self.turnover_ms = float(UNKNOWN_TURNOVER_MS)
         self.sent = 0
+        self.sent_at_sum = float(0)
         self.failed_at = -math.inf
 
+    def count_sent(self, now: Millis) -> None:
+        """Count a call that is sent to the instance."""
+        self.sent += 1
+        self.sent_at_sum += now
+
     def record(
         self, report: LoadReport, now: Millis, *, has_refused: bool
     ) -> None:
         """Replace the report; an instance that refuses counts as full."""
         self.limit = report.limit
         self.sent = 0
+        self.sent_at_sum = 0
         if not report.limit:
             return
         self.use = min(report.busy / report.limit, MAX_USE)
@@ -107,16 +120,21 @@
                 max(turnover_ms, MIN_TURNOVER_MS), MAX_TURNOVER_MS
             )
 
-    def estimate(self, in_flight: int, now: Millis) -> float:
+    def estimate(self, mean: float, in_flight: int, now: Millis) -> float:
         """Return the use now, from the report and own calls sent since.
 
         As the calls that ran at the time of the report end, the use nears the
         mean of the domain.
         """
-        mean = self.group.use(now)
         trust = math.exp((self.reported_at - now) / self.turnover_ms)
-        sent = min(self.sent, in_flight) / max(1, self.limit)
-        return mean + (self.use - mean) * trust + sent
+        use = mean + (self.use - mean) * trust
+        sent = min(self.sent, in_flight)
+        if not sent:
+            return use
+        use += sent / max(1, self.limit)
+        silence_ms = sent * (now - self.sent_at_sum / self.sent)
+        excess = silence_ms / self.turnover_ms - TOLERATED_SILENCE
+        return use + USE_PER_SILENCE * max(0, excess)
 
     def correct_for_failures(
         self, use: float, failure_rate: float, now: Millis
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -164,7 +164,7 @@
         if target is None:
             return None
     target.in_flight += 1
-    target.estimate.sent += 1
+    target.estimate.count_sent(now)
     if service.uses_estimates and target.instance.domain != state.domain:
         state.estimate_metrics.left_domain[service_name] += 1
     return target.instance
@@ -331,7 +331,7 @@
     if is_estimated and load.limit:
         state.estimate_metrics.record(
             name,
-            target.estimate.estimate(target.in_flight, now),
+            state.services[name].estimate(target, now),
             load.busy / load.limit,
         )
     has_refused = outcome is CallOutcome.shed
--- a/src/jasmineramp/routing_choice.py
+++ b/src/jasmineramp/routing_choice.py
@@ -11,6 +11,8 @@
 
 SPARE_SLOTS_REFRESH_MS = 100
 SAMPLING_ATTEMPTS = 6
+# Bounds the time of one choice to about 30 us.
+MAX_SCANNED_INSTANCES = 32
 # Without it, a domain believed to be full would never be tried again.
 MIN_SPARE_SHARE = 0.02
 
@@ -72,10 +74,11 @@
         or now < target.cold_until
     ):
         return target
-    return _least_used(service, pool, exclude, now) or target
+    return _least_used(rng, service, pool, exclude, now) or target
 
 
 def _least_used(
+    rng: random.Random,
     service: Service,
     pool: Pool,
     exclude: frozenset[NodeId],
@@ -88,19 +91,34 @@
     """
     best: Target | None = None
     lowest_use = float('inf')
-    for target in pool.targets:
+    mean_use = pool.group_use.use(now)
+    tolerated_failure_rate = service.tolerated_failure_rate()
+    for target in _scanned(rng, pool):
+        estimate = target.estimate
         if (
-            target.estimate.limit
-            and now >= target.cold_until
-            and target.in_flight < target.connections
-            and target.node not in exclude
+            not estimate.limit
+            or now < target.cold_until
+            or target.in_flight >= target.connections
+            or target.node in exclude
         ):
-            use = service.estimate(target, now)
-            if use < lowest_use:
-                best, lowest_use = target, use
+            continue
+        use = estimate.estimate(mean_use, target.in_flight, now)
+        if target.failure_rate > tolerated_failure_rate:
+            use = estimate.correct_for_failures(use, target.failure_rate, now)
+        if use < lowest_use:
+            best, lowest_use = target, use
     return best
 
 
+def _scanned(rng: random.Random, pool: Pool) -> list[Target]:
+    targets = pool.targets
+    surplus = len(targets) - MAX_SCANNED_INSTANCES
+    if surplus <= 0:
+        return targets
+    start = rng.randrange(len(targets))
+    return (targets[start:] + targets[:start])[:MAX_SCANNED_INSTANCES]
+
+
 def _pick_of_two(
     rng: random.Random,
     pool: Pool,
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -194,13 +194,19 @@
         self.uses_estimates = False
         self.group_uses: dict[DomainId, GroupUse] = {}
 
+    def tolerated_failure_rate(self) -> float:
+        """Return the rate above which failures correct the estimated use.
+
+        Failures that all instances share are no reason to avoid one.
+        """
+        return max(TOLERATED_FAILURE_RATE, 2 * self.failure_rate)
+
     def estimate(self, target: Target, now: Millis) -> float:
         """Return the use of an instance as this node believes it."""
-        use = target.estimate.estimate(target.in_flight, now)
-        # Failures that all instances share are no reason to avoid one.
-        if target.failure_rate > max(
-            TOLERATED_FAILURE_RATE, 2 * self.failure_rate
-        ):
+        use = target.estimate.estimate(
+            target.estimate.group.use(now), target.in_flight, now
+        )
+        if target.failure_rate > self.tolerated_failure_rate():
             use = target.estimate.correct_for_failures(
                 use, target.failure_rate, now
             )
--- a/tests/test_load_estimates.py
+++ b/tests/test_load_estimates.py
@@ -156,6 +156,26 @@
                 report(state, node, LoadReport(busy=busy, limit=31))
             self.assertEqual(choose(state) in '13', is_left, (local, remote))
 
+    def test_instance_that_hangs_gets_few_calls(self) -> None:
+        # Its last report says that it is idle.
+        state = make_state(NODES)
+        busy, idle = (
+            LoadReport(0, 200, busy=20, limit=31),
+            LoadReport(0, 200, limit=31),
+        )
+        report(state, '0', idle)
+        report(state, '2', busy)
+        chosen = ''
+        for step in range(200):
+            now = Millis(NOW + 20 * step)
+            chosen += choose(state, now)
+            if chosen[-1] == '2':
+                routing.record_outcome(
+                    state, NodeId('2'), CallOutcome.succeeded, now, load=busy
+                )
+        self.assertLess(chosen.count('0'), 30)
+        self.assertNotIn('0', chosen[50:])
+
     def test_refusal_counts_as_full_whatever_the_report_says(self) -> None:
         # A cold or starved instance refuses although its slots are free.
         state = make_state(NODES)
@@ -171,11 +191,11 @@
         estimate = LoadEstimate()
         load = LoadReport(capacity=200, busy=0, limit=40)
         estimate.record(load, NOW, has_refused=False)
-        estimate.group.mean = 0.8
-        self.assertEqual(estimate.estimate(0, NOW), 0)
-        estimate.sent = 2
-        self.assertEqual(estimate.estimate(2, NOW), 2 / 40)
-        later = estimate.estimate(0, Millis(NOW + 200))
+        self.assertEqual(estimate.estimate(0.8, 0, NOW), 0)
+        estimate.count_sent(NOW)
+        estimate.count_sent(NOW)
+        self.assertEqual(estimate.estimate(0.8, 2, NOW), 2 / 40)
+        later = estimate.estimate(0.8, 0, Millis(NOW + 200))
         self.assertTrue(0.3 < later < 0.7, later)
 
     def test_previous_release_reads_a_report(self) -> None:
