--- a/tests/mesh/test_cold_limit.py
+++ b/tests/mesh/test_cold_limit.py
@@ -93,7 +93,9 @@
         if not cold_ms:
             return LoadReport(queued)
         is_full = queued or not self.cold.may_start(now)
-        return LoadReport(int(is_full), 6.5, 0, True, 6.5, cold_ms)
+        return LoadReport(
+            int(is_full), 6.5, 0, True, cold_per_s=6.5, cold_ms=cold_ms
+        )
 
 
 class ColdLimitTest(unittest.TestCase):
