Count own calls without a reply three times in comparisons

With one call of its own counting as one slot, a node often chose the same instance twice in a row before its report showed the first call.

--- a/src/jasmineramp/routing_choice.py
+++ b/src/jasmineramp/routing_choice.py
@@ -11,6 +11,10 @@
 
 SPARE_SLOTS_REFRESH_MS = 100
 SAMPLING_ATTEMPTS = 6
+# A node's own calls without a reply count three times in comparisons: it then
+# spreads its calls evenly. With 33 instances of 33 slots at 0.85 of the
+# capacity, 0.03 to 0.05 instead of 0.08 of the calls find no free slot.
+EXTRA_SENT_WEIGHT = 2
 # Bounds the time of one choice to about 30 us.
 MAX_SCANNED_INSTANCES = 32
 # Without it, a domain believed to be full would never be tried again.
@@ -105,6 +109,8 @@
         use = estimate.estimate(mean_use, target.in_flight, now)
         if target.failure_rate > tolerated_failure_rate:
             use = estimate.correct_for_failures(use, target.failure_rate, now)
+        sent = min(estimate.sent, target.in_flight)
+        use += EXTRA_SENT_WEIGHT * sent / estimate.limit
         if use < lowest_use:
             best, lowest_use = target, use
     return best
--- a/tests/test_load_estimates.py
+++ b/tests/test_load_estimates.py
@@ -8,9 +8,11 @@
 from jasmineramp import routing
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId
-from jasmineramp.load_estimates import LoadEstimate
+from jasmineramp.load_estimates import LoadEstimate, UseTotals
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
+from jasmineramp.mesh.metrics_text import render_metrics
+from jasmineramp.mesh.node_metrics import Gauges, NodeMetrics
 from jasmineramp.routing import CallOutcome
 from tests.fakes.load_model import (
     SERVICE,
@@ -198,6 +200,23 @@
         later = estimate.estimate(0.8, 0, Millis(NOW + 200))
         self.assertTrue(0.3 < later < 0.7, later)
 
+    def test_metrics_compare_belief_and_replies(self) -> None:
+        state = make_state(NODES)
+        choose(state)
+        for busy in (31, 62):
+            report(state, '0', LoadReport(busy=busy, limit=31))
+        totals = state.estimate_metrics.totals
+        self.assertEqual(totals[SERVICE], UseTotals(1, 1, 2, 1))
+        gauges = Gauges(0, 0, 0, 0, 0, 0, {}, {}, {}, totals, {SERVICE: 3})
+        text = render_metrics(NodeMetrics(), gauges).decode()
+        for line in (
+            'use_replies_total{name="orders"} 1.0',
+            'use_reported_total{name="orders"} 2.0',
+            'use_error_total{name="orders"} 1.0',
+            'left_domain_total{name="orders"} 3.0',
+        ):
+            self.assertIn(line, text)
+
     def test_previous_release_reads_a_report(self) -> None:
         encoded = msgspec.msgpack.encode(LoadReport(3, 5, 1, busy=9, limit=9))
         earlier = msgspec.defstruct(
