Keep refusals that concern all instances out of the estimates

A refusal because services further down are overloaded, or because the repeats of a service are used up, says nothing of one instance. Counted as full, every local instance would have been left for other domains. The outcome of such a call is now the one that records nothing. Refusals of an instance for itself count for it, no longer for the mean of its domain.

--- a/src/jasmineramp/load_estimates.py
+++ b/src/jasmineramp/load_estimates.py
@@ -110,10 +110,10 @@
         if not report.limit:
             return
         self.use = min(report.busy / report.limit, MAX_USE)
+        self.group.record(self.use, now)
         if has_refused or not report.healthy:
             self.use = max(self.use, 1)
         self.reported_at = now
-        self.group.record(self.use, now)
         if report.capacity > 0:
             turnover_ms = report.limit * MILLIS_PER_SECOND / report.capacity
             self.turnover_ms = min(
--- a/src/jasmineramp/mesh/observation.py
+++ b/src/jasmineramp/mesh/observation.py
@@ -41,6 +41,9 @@
         if result.is_server_error():
             return CallOutcome.failed
         return CallOutcome.succeeded
+    if result.is_for_all:
+        # Counted as full, all instances would send calls to other domains.
+        return CallOutcome.cancelled
     if result.run is RunState.not_run and result.code is not (
         RefusalCode.upstream_lost
     ):
--- a/tests/test_load_estimates.py
+++ b/tests/test_load_estimates.py
@@ -4,6 +4,7 @@
 import unittest
 
 import msgspec
+from msgspec.structs import replace
 
 from jasmineramp import routing
 from jasmineramp.clock import Millis
@@ -11,8 +12,11 @@
 from jasmineramp.load_estimates import LoadEstimate, UseTotals
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
+from jasmineramp.mesh.calls import Failure
 from jasmineramp.mesh.metrics_text import render_metrics
 from jasmineramp.mesh.node_metrics import Gauges, NodeMetrics
+from jasmineramp.mesh.observation import outcome_of
+from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import CallOutcome
 from tests.fakes.load_model import (
     SERVICE,
@@ -185,6 +189,15 @@
         report(state, '0', LoadReport(limit=31), CallOutcome.shed)
         self.assertEqual(choose(state), '2')
 
+    def test_refusal_for_all_instances_says_nothing_of_one(self) -> None:
+        # Counted as full, it would send calls to another domain.
+        failure = Failure(
+            RefusalCode.overloaded, RunState.not_run, is_for_all=True
+        )
+        self.assertEqual(outcome_of(failure), CallOutcome.cancelled)
+        for_itself = replace(failure, is_for_all=False)
+        self.assertEqual(outcome_of(for_itself), CallOutcome.shed)
+
 
 class LoadEstimateTest(unittest.TestCase):
     """Check the arithmetic of an estimate."""
