Space calls to cold instances without lowering their weight

A node that has just started told its peers that its instance was cold although nothing but its own memory was missing, and the slow start of ten seconds that followed would have kept a warm instance nearly idle; it now limits calls by itself until the next heartbeat and tells nobody. A limit that a heartbeat ends early restores the slow start that was in progress.

--- a/src/jasmineramp/mesh/cold_limit.py
+++ b/src/jasmineramp/mesh/cold_limit.py
@@ -74,7 +74,8 @@
         self.cold_until = _NEVER
         self.ramp_until = _NEVER
         self.awaits_announcement = True
-        self.ramps_after_wait = False
+        # Not after a start of the node alone, of which peers need not know.
+        self.is_suspected = False
         self.tokens = float(0)
         self.refilled_at = _NEVER
         self.interval_ms = float(0)
@@ -104,29 +105,27 @@
         )
 
     def remaining_ms(self, now: Millis) -> float:
-        """Return how much longer the instance counts as cold."""
+        """Return how much longer peers should take the instance for cold."""
         if not self.is_cold(now):
             return 0
-        if self.awaits_announcement:
-            return UNKNOWN_COLD_MS
-        return self.cold_until - now
+        unknown_ms = UNKNOWN_COLD_MS if self.is_suspected else 0
+        return max(unknown_ms, self.cold_until - now)
 
     def announce(self, cold_ms: float, now: Millis) -> None:
         """Apply the cold time that an instance has announced."""
         if cold_ms > 0:
             self.cold_until = later(now, cold_ms)
             self.ramp_until = later(self.cold_until, RAMP_MS)
-        elif now < self.cold_until or (
-            self.awaits_announcement and self.ramps_after_wait
-        ):
+        elif now < self.cold_until:
             self.cold_until = now
             self.ramp_until = later(now, RAMP_MS)
         self.awaits_announcement = False
+        self.is_suspected = False
 
     def await_announcement(self) -> None:
         """Count the instance as cold until it announces its cold time."""
         self.awaits_announcement = True
-        self.ramps_after_wait = True
+        self.is_suspected = True
 
     def rate(self, now: Millis) -> float:
         """Return the calls a second that may start, infinite if not limited."""
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -138,7 +138,8 @@
         queued = len(state.queue.entries)
         now = self.clock.now()
         cold_ms = self.cold.remaining_ms(now)
-        if cold_ms and not queued and not self.cold.may_start(now):
+        is_cold = self.cold.is_cold(now)
+        if is_cold and not queued and not self.cold.may_start(now):
             # Peers take it for full.
             queued = 1
         load_threshold = int(state.limiter.limit * LOAD_THRESHOLD_FRACTION)
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -121,7 +121,7 @@
                 self.registration.mark_changed()
         if not self.gate.accepts_calls():
             session.write(self._state_frame(UpstreamState.draining))
-        elif self.gate.cold.is_cold(self.clock.now()):
+        elif self.gate.cold.remaining_ms(self.clock.now()):
             session.write(self._state_frame(self.record.state))
 
     def reload(self, settings: NodeSettings) -> None:
@@ -139,8 +139,8 @@
     def report_coldness(self) -> None:
         """Tell gate, peers and routes when the upstream turns cold or warm."""
         now = self.clock.now()
-        is_cold = self.gate.cold.is_cold(now)
         cold_ms = self.gate.cold.remaining_ms(now)
+        is_cold = cold_ms > 0
         is_longer = now + cold_ms > self.cold_reported_until + COLD_CHANGE_MS
         if is_cold is self.was_cold and not (is_cold and is_longer):
             return
@@ -158,7 +158,11 @@
         if self.gate.accepts_calls():
             self.notify_peers(self.record.state)
         routing.record_cold(
-            self.routes, self.settings.node, per_s, cold_ms, now
+            self.routes,
+            self.settings.node,
+            per_s if is_cold else 0,
+            cold_ms,
+            now,
         )
 
     def _apply_cold_rule(self) -> None:
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -250,13 +250,7 @@
         first_interval_ms = min(
             MAX_COLD_INTERVAL_MS, mean_ms * state.random.random() * 2
         )
-    changed = target.limit_cold(per_s, cold_ms, first_interval_ms, now)
-    service = state.services.get(target.instance.upstream.service)
-    if service is not None:
-        service.rebuild_pools_at = min(
-            service.rebuild_pools_at,
-            now if changed else target.cold_limit_until,
-        )
+    target.limit_cold(per_s, cold_ms, first_interval_ms, now)
 
 
 def has_untried_instance(
@@ -427,9 +421,6 @@
     while len(ejected) * 2 > len(ready):
         ejected.pop(0).ejected_until = 0
     set_weights(ready)
-    cold = [each for each in ready if now < each.cold_limit_until]
-    for each in cold:
-        each.weight = min(each.weight, each.cold_per_s)
     by_domain: dict[DomainId, list[Target]] = {}
     for target in ready:
         if now >= target.ejected_until:
@@ -442,10 +433,7 @@
     )
     service.spare_slots_valid_until = 0
     service.rebuild_pools_at = min(
-        (
-            *(each.ejected_until for each in ejected),
-            *(each.cold_limit_until for each in cold),
-        ),
+        (each.ejected_until for each in ejected),
         default=float('inf'),
     )
 
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -30,6 +30,7 @@
         'cold_limit_until',
         'cold_per_s',
         'cold_until',
+        'cold_until_before',
         'connections',
         'ejected_until',
         'ejections',
@@ -56,6 +57,7 @@
     def restart(self, instance: Instance, cold_until: float) -> None:
         """Reset all state except the calls in flight."""
         self.cold_until = cold_until
+        self.cold_until_before = cold_until
         self.cold_per_s = float(0)
         self.cold_limit_until = float(0)
         self.cold_interval_ms = float(0)
@@ -88,7 +90,7 @@
     def slow_start_factor(self, now: Millis) -> float:
         """Return the fraction of the weight that counts during slow start."""
         if now >= self.cold_until or now < self.cold_limit_until:
-            # The weight of a cold instance is its cold rate.
+            # Calls to a cold instance are spaced instead.
             return 1
         elapsed = SLOW_START_MS - (self.cold_until - now)
         return max(MIN_SLOW_START_FACTOR, elapsed / SLOW_START_MS)
@@ -99,22 +101,24 @@
         cold_ms: float,
         first_interval_ms: float,
         now: Millis,
-    ) -> bool:
-        """Apply what a cold instance tolerates; return whether it changed."""
+    ) -> None:
+        """Apply what a cold instance tolerates."""
         was_cold = now < self.cold_limit_until
         if not per_s or not cold_ms:
             if was_cold:
                 self.cold_limit_until = now
-                self.cold_until = now + SLOW_START_MS
-            return was_cold
+                # It was not certain that the instance is cold, or the node
+                # beside it raises the rate by itself.
+                self.cold_until = self.cold_until_before
+            return
+        if not was_cold:
+            self.cold_until_before = self.cold_until
         self.cold_limit_until = now + cold_ms
         self.cold_until = self.cold_limit_until + SLOW_START_MS
-        if was_cold and per_s == self.cold_per_s:
-            return False
-        self.cold_per_s = per_s
-        self.cold_interval_ms = first_interval_ms
-        self.next_cold_call_at = now + first_interval_ms
-        return True
+        if not was_cold or per_s != self.cold_per_s:
+            self.cold_per_s = per_s
+            self.cold_interval_ms = first_interval_ms
+            self.next_cold_call_at = now + first_interval_ms
 
     def is_paced(self, now: Millis) -> bool:
         """Return whether this node has used its part of a cold instance."""
--- a/tests/mesh/test_cold_instance.py
+++ b/tests/mesh/test_cold_instance.py
@@ -64,6 +64,9 @@
 
     # Guards against peers that learn of a cold instance by its refusals.
     async def test_peers_and_routes_learn_at_once(self) -> None:
+        slow_starts = [
+            node.routes.targets['n0'].cold_until for node in self.fleet.nodes
+        ]
         await self.announce('10s')
         targets = [node.routes.targets['n0'] for node in self.fleet.nodes]
         now = self.gate.clock.now()
@@ -74,6 +77,7 @@
         await self.fleet.until(
             lambda: all(each.cold_limit_until < now + 5000 for each in targets)
         )
+        self.assertEqual([each.cold_until for each in targets], slow_starts)
 
     # Guards against a flood of an instance that has just started and does not
     # know its cold time yet.
@@ -86,7 +90,6 @@
         self.assertEqual(self.gate.load().cold_ms, UNKNOWN_COLD_MS)
         await self.announce('0ms')
         self.assertFalse(self.is_cold())
-        self.assertTrue(self.gate.cold.is_limited(self.gate.clock.now()))
 
     # Guards against a flood of an instance that turned cold before the end of
     # an evacuation.
--- a/tests/mesh/test_cold_limit.py
+++ b/tests/mesh/test_cold_limit.py
@@ -91,7 +91,7 @@
         queued = len(self.state.queue.entries)
         cold_ms = self.cold.remaining_ms(now)
         if not cold_ms:
-            return LoadReport(queued)
+            return LoadReport(queued, SLOTS * 1000 / WORK_MS)
         is_full = queued or not self.cold.may_start(now)
         return LoadReport(int(is_full), 6.5, 0, True, 6.5, cold_ms)
 
@@ -172,6 +172,8 @@
     def test_unannounced_cold_time_counts_as_cold(self) -> None:
         cold = ColdLimit(RULE)
         self.assertTrue(cold.is_cold(Millis(0)))
+        # Peers keep sending, as it is likely warm.
+        self.assertFalse(cold.remaining_ms(Millis(0)))
         cold.announce(0, Millis(0))
         self.assertFalse(cold.is_limited(Millis(0)))
         cold.await_announcement()
