--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -145,7 +145,8 @@
         queued = len(state.queue.entries)
         limit = int(state.limiter.limit)
         cold_ms = self.cold.remaining_ms(now)
-        is_held_back = cold_ms > 0 and not self.cold.may_start(now)
+        is_cold = self.cold.is_cold(now)
+        is_held_back = is_cold and not self.cold.may_start(now)
         if is_held_back:
             # Peers take it for full.
             queued = max(1, queued)
