--- a/tests/test_load_estimates.py
+++ b/tests/test_load_estimates.py
@@ -220,7 +220,12 @@
             report(state, '0', LoadReport(busy=busy, limit=31))
         totals = state.estimate_metrics.totals
         self.assertEqual(totals[SERVICE], UseTotals(1, 1, 2, 1))
-        gauges = Gauges(0, 0, 0, 0, 0, 0, {}, {}, {}, totals, {SERVICE: 3})
+        gauges = Gauges(
+            *(0,) * 6,
+            *({},) * 3,
+            use_totals=totals,
+            left_domain={SERVICE: 3},
+        )
         text = render_metrics(NodeMetrics(), gauges).decode()
         for line in (
             'use_replies_total{name="orders"} 1.0',
