Bound the cold time and the starts that a cold limit remembers

A heartbeat with an absurd cold time put a value into the frames to peers that they refuse to decode, so every connection to the node ended. The time is cut at one hour, far beyond the next heartbeat. The remembered starts grew with the rate that the operators allow; they now end with the window. A cold rate below 0.1 a second was raised to it.

Measured: two new tests failed before the change and pass with it; 25 tests of test_cold_limit, test_cold_instance, test_settings and test_check_command pass.

--- a/src/jasmineramp/mesh/cold_limit.py
+++ b/src/jasmineramp/mesh/cold_limit.py
@@ -29,6 +29,8 @@
 NEGLIGIBLE_WAIT_MS = 0.001
 # A start that is younger than this may not have announced its cold time yet.
 MIN_FRESH_MS = 10_000
+# The next announcement is seconds away.
+MAX_COLD_MS = 3_600_000
 # An instance announces itself every 1.5 s.
 UNKNOWN_COLD_MS = 1_500
 _NEVER = Millis(float('-inf'))
@@ -58,9 +60,8 @@
     def rate(self) -> float:
         """Return the calls a second that may start."""
         within_bound = (self.bound() - self.burst()) / WINDOW_MS
-        return max(
-            MIN_RATE_PER_S, min(self.per_s, within_bound * MILLIS_PER_SECOND)
-        )
+        within_bound_per_s = within_bound * MILLIS_PER_SECOND
+        return min(self.per_s, max(MIN_RATE_PER_S, within_bound_per_s))
 
 
 class ColdLimit(StartPacing):
@@ -79,14 +80,12 @@
         self.tokens = float(0)
         self.refilled_at = _NEVER
         self.interval_ms = float(0)
-        # The last starts, also those before the instance turned cold.
-        self.starts: deque[Millis] = deque(maxlen=_window_size(rule))
+        # Starts of the last WINDOW_MS, also before the instance turned cold.
+        self.starts: deque[Millis] = deque()
 
     def set_rule(self, rule: ColdRule) -> None:
         """Apply a changed rule."""
-        if rule != self.rule:
-            self.rule = rule
-            self.starts = deque(self.starts, maxlen=_window_size(rule))
+        self.rule = rule
 
     def cell(self) -> tuple[str, str, float]:
         """Return row, column and value of the table cell that limits."""
@@ -114,7 +113,8 @@
     def announce(self, cold_ms: float, now: Millis) -> None:
         """Apply the cold time that an instance has announced."""
         if cold_ms > 0:
-            self.cold_until = later(now, cold_ms)
+            # An absurd time must not reach the frames to peers.
+            self.cold_until = later(now, min(cold_ms, MAX_COLD_MS))
             self.ramp_until = later(self.cold_until, RAMP_MS)
         elif now < self.cold_until:
             self.cold_until = now
@@ -146,13 +146,18 @@
         if not self.interval_ms:
             return 0
         wait_ms = (1 - self.tokens) * self.interval_ms
-        if self.is_cold(now) and len(self.starts) == self.starts.maxlen:
-            wait_ms = max(wait_ms, self.starts[0] + WINDOW_MS - now)
+        allowed = max(1, math.floor(self.rule.bound()))
+        if self.is_cold(now) and len(self.starts) >= allowed:
+            wait_ms = max(wait_ms, self.starts[-allowed] + WINDOW_MS - now)
         return wait_ms if wait_ms > NEGLIGIBLE_WAIT_MS else 0
 
     def started(self, now: Millis) -> None:
         """Count a call that has started."""
+        if not self.rule.per_s:
+            return
         self.starts.append(now)
+        while self.starts[0] <= now - WINDOW_MS:
+            self.starts.popleft()
         if self.interval_ms:
             self.tokens -= 1
 
@@ -181,7 +186,3 @@
     `born` is the Unix time of its start in ms, on the clock of this VM.
     """
     return unix_now - born < max(rule.start_ms, MIN_FRESH_MS)
-
-
-def _window_size(rule: ColdRule) -> int:
-    return max(1, int(rule.bound()))
--- a/src/jasmineramp/platform/settings.py
+++ b/src/jasmineramp/platform/settings.py
@@ -1,6 +1,5 @@
 """Decode the settings file that the platform writes for a node."""
 
-import math
 import pathlib
 from collections.abc import Mapping
 
@@ -11,6 +10,8 @@
 from jasmineramp.platform.wire_values import read_duration_ms
 
 PATH_VARIABLE = 'JASMINERAMP_BOOT'
+# More calls than any instance gets in a second.
+MAX_FACTOR = 1_000_000
 _REMEDY = 'correct the settings file'
 _ADDRESSES = {
     'outbound': 'network.listen.outbound',
@@ -148,10 +149,12 @@
 
 
 def _read_factor(fields: Mapping[str, str], name: str, default: float) -> float:
-    """Return a finite number that is not negative."""
+    """Return a number from 0 to MAX_FACTOR."""
     number = _read_number(fields, name, default)
-    if not 0 <= number < math.inf:
-        raise SettingsError(name, f'{fields[name]!r} is negative', _REMEDY)
+    if not 0 <= number <= MAX_FACTOR:
+        raise SettingsError(
+            name, f'{fields[name]!r} is not from 0 to {MAX_FACTOR}', _REMEDY
+        )
     return number
 
 
--- a/tests/mesh/test_cold_instance.py
+++ b/tests/mesh/test_cold_instance.py
@@ -101,6 +101,16 @@
         await self.announce('0ms')
         self.assertFalse(self.is_cold())
 
+    # Guards against a time that no peer can decode, which would end every
+    # connection to this node.
+    async def test_absurd_cold_time_does_not_end_connections(self) -> None:
+        for number in range(2):
+            await self.announce('9e99ms', number)
+        replies = await self.call_often()
+        self.assertIn(200, [status for status, _ in replies])
+        for link in self.fleet.nodes[1].entry.links.values():
+            self.assertTrue(link.is_up())
+
     # Guards against an announcement that arrives late and ends the cold time.
     async def test_late_announcement_does_not_end_the_cold_time(self) -> None:
         await self.announce('10s')
--- a/tests/mesh/test_cold_limit.py
+++ b/tests/mesh/test_cold_limit.py
@@ -142,6 +142,14 @@
             self.gate.tick()
         self.assertFalse(self.gate.starts)
 
+    # Guards against memory that grows with the rate that the operators allow.
+    def test_starts_are_forgotten(self) -> None:
+        self.gate.cold.set_rule(ColdRule(1e12))
+        self.gate.cold.announce(0, self.clock.now())
+        for each in range(100):
+            self.gate.cold.started(Millis(each * 100))
+        self.assertLess(len(self.gate.cold.starts), 15)
+
     # Guards against a refusal that comes late, or says to return too early.
     def test_refusal_is_immediate_and_follows_from_the_limit(self) -> None:
         impatient = self.gate.offer('impatient', 3, 10)[0]
