Bound all memory and connections that callers make a node hold

Cause: only bodies over 64 KiB counted against the budget for messages. Heads, small bodies, requests read ahead and responses that a caller does not read were held without a bound, a head that arrived with one read was not checked at all, and connections could take every descriptor.

Change: one budget, that of received messages, counts what each connection holds from the first byte: heads at the cost of their objects, bodies, requests read ahead and responses until they are sent. When it is used up, caller_memory decides what goes first: connections that hold the most for the longest without progress, never one whose request was passed on. A request that finds no memory is refused 503 with Retry-After; what was passed on is answered. The parser gets 16 KiB at once, no request starts while more than 64 KiB of responses have not been taken, and a connection reads ahead 64 KiB. Empty lines are bounded. Kernel buffers of a connection are 128 KiB. Connections are limited so that a quarter of the descriptors remains for other purposes; stalled and idle ones are closed first. A request before a malformed one, and one that asks for a protocol upgrade, is now answered; both were dropped with their connection.

--- a/bench/metadata_store.py
+++ b/bench/metadata_store.py
@@ -10,7 +10,8 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
+from jasmineramp.mesh.caller_http import CallerServer
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest, Headers
 from jasmineramp.mesh.route_table import CallerLimits
 
--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -1,73 +1,36 @@
-"""Serve HTTP/1.1 to callers on the event loop."""
+"""Accept the connections of callers and share resources among them."""
 
 import asyncio
-from collections import deque
-from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-
-import httptools
-
-from jasmineramp.clock import MILLIS_PER_SECOND
-from jasmineramp.mesh.calls import CallerRequest, Headers
+import socket
+import sys
+from collections.abc import Callable
+
+from jasmineramp.mesh.caller_causes import Cause, CauseCounts
+from jasmineramp.mesh.caller_connection import CallerConnection, OpenRequests
+from jasmineramp.mesh.caller_memory import (
+    SPARE_FRACTION,
+    choose_for_descriptors,
+    choose_for_memory,
+    limit_for,
+)
+from jasmineramp.mesh.caller_messages import Handler
 from jasmineramp.mesh.receive_limits import (
     DEFAULT_MEMORY_BYTES,
-    MAX_BODY_BYTES,
-    RESERVATION_STEP_BYTES,
-    SMALL_BODY_BYTES,
-    Bound,
-    MessageBuffer,
+    KIBIBYTE,
     ReceiveBudget,
-    Reservation,
     limits_for,
 )
 from jasmineramp.mesh.route_table import CallerLimits
 
-# Requests that a caller may queue on one connection.
-MAX_PIPELINED_REQUESTS = 16
-WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
-# A caller sends its first request right after connecting, and it is reset if
-# the connection is closed before the request is read.
-NEW_CONNECTION_ALLOWANCE_MS = 500
-# Sent while too little memory is free for a large body.
-_RETRY_AFTER = (b'Retry-After', b'0.5')
-_REASON_PHRASES = {
-    status.value: status.phrase.encode() for status in HTTPStatus
-}
-
-
-class CallerResponse:
-    """Hold a response to a caller; Content-Length is added on writing."""
-
-    __slots__ = ('body', 'headers', 'reason', 'status')
-
-    def __init__(
-        self,
-        status: int,
-        headers: Headers,
-        body: bytes = b'',
-        reason: bytes = b'',
-    ) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.reason = reason or _REASON_PHRASES.get(status, b'Unknown')
-
-
-Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
-
-
-class OpenRequests:
-    """Count the requests in progress, as a context manager."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def __enter__(self) -> None:
-        self.count += 1
-
-    def __exit__(self, *_: object) -> None:
-        self.count -= 1
+# Bytes that the kernel holds count as memory of the process on some platforms;
+# without a limit it holds up to 32 MiB for one connection. The kernel doubles
+# the figure. It allows 8 MiB/s at a round trip of 16 ms.
+KERNEL_BUFFER_BYTES = 128 * KIBIBYTE
+# A search through all connections that frees too little is not repeated sooner.
+SEARCH_INTERVAL_S = 0.02
+# Connections that one search for descriptors closes at most.
+CLOSED_PER_SEARCH = 16
 
 
 class CallerServer:
@@ -78,27 +41,40 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         budget: ReceiveBudget | None = None,
+        *,
+        max_connections: int = sys.maxsize,
+        causes: CauseCounts | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.budget = budget or ReceiveBudget(
             limits_for(DEFAULT_MEMORY_BYTES).total_bytes
         )
+        self.max_connections = max_connections
+        self.causes = causes or CauseCounts()
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.open_requests = OpenRequests()
         self.server: asyncio.Server | None = None
+        self.is_freeing = False
+        self.next_search = float('-inf')
 
     async def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
+        self.loop = asyncio.get_running_loop()
+        self.server = await self.loop.create_server(
             lambda: CallerConnection(self),
             host,
             port,
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
+        for listener in self.server.sockets:
+            # Accepted connections inherit both.
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                listener.setsockopt(
+                    socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES
+                )
 
     def drain(self) -> None:
         """Close each connection after its next response."""
@@ -122,234 +98,77 @@
         limits = self.limits()
         for connection in list(self.connections):
             connection.expire(now, limits)
-
-
-class CallerConnection(asyncio.Protocol):
-    """Parse the requests of one connection and answer them in order."""
-
-    def __init__(self, server: CallerServer) -> None:
-        self.server = server
-        self.loop = asyncio.get_running_loop()
-        self.parser = httptools.HttpRequestParser(self)
-        self.queue: deque[tuple[CallerRequest, bool]] = deque()
-        self.task: asyncio.Task[None] | None = None
-        self.is_closed = False
-        self.is_rejected = False
-        self.timeout_started = self.loop.time()
-        self.has_begun_request = False
-        self.buffer = MessageBuffer(MAX_BODY_BYTES)
-        self.reservation = Reservation(server.budget)
-        # Bodies of the queued requests and the one in progress.
-        self.queued_bytes = 0
-        self._reset()
-
-    def _reset(self) -> None:
-        self.target = b''
-        self.headers: Headers = []
-        self.header_bytes = 0
-        self.is_reading_head = False
-        self.is_reading_body = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and register the connection."""
-        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self.server.connections.add(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in progress."""
-        self._abandon()
-        self.reservation.release()
-        # Breaks the reference cycle with the parser, so that the connection is
-        # freed without the garbage collector; most serve only one request.
-        del self.parser
-
-    def eof_received(self) -> bool:
-        """Treat the end of the caller's stream as a disconnect."""
-        self._abandon()
-        return False
-
-    def data_received(self, data: bytes) -> None:
-        """Feed the parser; reject malformed and oversized requests."""
-        if self.is_rejected:
+        waiting = self.budget.waiting
+        if waiting:
+            self.free_memory(waiting[0].wanted_size - waiting[0].size)
+
+    def register(self, connection: CallerConnection) -> None:
+        """Add a connection; close others if there are too many."""
+        self.connections.add(connection)
+        if len(self.connections) <= self.max_connections:
             return
-        if self.is_reading_body:
-            self.buffer.received_bytes += len(data)
-            self.timeout_started = self.loop.time()
-        else:
-            self.header_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        if (
-            self.is_reading_head
-            or self.is_reading_body
-            or self.buffer.body_bytes
-        ):
-            self._check_limits(self.server.limits())
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._reset()
-        self.buffer.start_exchange()
-        self.has_begun_request = True
-        self.is_reading_head = True
-        self.timeout_started = self.loop.time()
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the request target."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self.headers.append((name, value))
-        if name.lower() == b'expect' and value.lower() == b'100-continue':
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_headers_complete(self) -> None:
-        """Start reading the body; ignore a protocol upgrade."""
-        self.is_reading_head = False
-        self.is_reading_body = True
-        self.header_bytes = 0
-        if self.parser.should_upgrade():
-            self.headers = [
-                each for each in self.headers if each[0].lower() != b'upgrade'
-            ]
-
-    def on_body(self, body: bytes) -> None:
-        """Collect a chunk of the body."""
-        self.buffer.add_body(body)
-
-    def on_message_complete(self) -> None:
-        """Queue the request behind earlier ones of the connection."""
-        self.is_reading_body = False
-        self.timeout_started = self.loop.time()
-        if len(self.queue) >= MAX_PIPELINED_REQUESTS:
-            self._reject(HTTPStatus.BAD_REQUEST)
-            return
-        request = CallerRequest(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            self.buffer.take_body(),
-        )
-        self.queued_bytes += len(request.body)
-        self.queue.append((request, self.parser.should_keep_alive()))
-        if self.task is None:
-            self._start_next()
-
-    def is_idle(self) -> bool:
-        """Return whether no request is in progress or expected soon."""
-        return not (
-            self.is_busy() or self.is_reading_request() or self.is_new()
-        )
-
-    def is_busy(self) -> bool:
-        """Return whether a request is queued or in progress."""
-        return self.task is not None or bool(self.queue)
-
-    def is_reading_request(self) -> bool:
-        """Return whether a request has been received only in part."""
-        return self.is_reading_head or self.is_reading_body
-
-    def is_new(self) -> bool:
-        """Return whether the first request may still be on its way."""
-        if self.has_begun_request:
-            return False
-        age_s = self.loop.time() - self.timeout_started
-        return age_s * MILLIS_PER_SECOND < NEW_CONNECTION_ALLOWANCE_MS
-
-    def expire(self, now: float, limits: CallerLimits) -> None:
-        """Close the connection at the idle or the header timeout.
-
-        The idle timeout also applies between the pieces of a body and to a
-        response that the caller does not read.
+        now = self.loop.time()
+        if now >= self.next_search:
+            others = [each for each in self.connections if each != connection]
+            keys = choose_for_descriptors(
+                (each.describe(key, now) for key, each in enumerate(others)),
+                CLOSED_PER_SEARCH,
+            )
+            if keys:
+                for key in keys:
+                    others[key].cut_off(Cause.connection_limit)
+                return
+            self.next_search = now + SEARCH_INTERVAL_S
+        connection.cut_off(Cause.connection_limit)
+
+    def charge(
+        self, connection: CallerConnection, size: int, *, must: bool
+    ) -> bool:
+        """Count the memory of a connection; return False if it is too much.
+
+        What `must` be counted is, but it may cost other connections theirs.
         """
-        if self.task is not None:
-            return
-        limit_ms = (
-            limits.header_timeout_ms
-            if self.is_reading_head
-            else limits.idle_timeout_ms
-        )
-        if (now - self.timeout_started) * MILLIS_PER_SECOND <= limit_ms:
-            return
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
-        else:
-            self.transport.close()
-
-    def _check_limits(self, limits: CallerLimits) -> None:
-        buffer = self.buffer
-        if self.is_reading_head and self.header_bytes > limits.max_header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        excess = buffer.find_excess()
-        if excess is not None and excess.bound is Bound.head:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        if excess is not None or buffer.body_bytes > limits.max_body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        size = self.queued_bytes + buffer.body_bytes
-        if (
-            self.is_reading_body
-            and size > max(SMALL_BODY_BYTES, self.reservation.size)
-            and not self.reservation.try_resize(size + RESERVATION_STEP_BYTES)
-        ):
-            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
-
-    def _start_next(self) -> None:
-        request, keep_alive = self.queue.popleft()
-        self.task = self.loop.create_task(self._answer(request, keep_alive))
-
-    async def _answer(self, request: CallerRequest, keep_alive: bool) -> None:
-        with self.server.open_requests:
-            response = await self.server.handler(request)
-        self.task = None
-        self.timeout_started = self.loop.time()
-        self.queued_bytes -= len(request.body)
-        if not self.queued_bytes and not self.is_reading_body:
-            self.reservation.release()
-        if self.is_closed:
-            return
-        keep_alive = keep_alive and not self.server.is_draining
-        self._write(response, keep_alive, head_only=request.method == b'HEAD')
-        if not keep_alive:
-            self.transport.close()
-        elif self.queue:
-            self._start_next()
-
-    def _write(
-        self, response: CallerResponse, keep_alive: bool, *, head_only: bool
+        reservation = connection.reservation
+        missing_bytes = size - reservation.size
+        if missing_bytes > 0:
+            budget = self.budget
+            limit = limit_for(size, budget.total_bytes)
+            if budget.used_bytes + missing_bytes > limit:
+                self.free_memory(missing_bytes, connection)
+                if not must and budget.used_bytes + missing_bytes > limit:
+                    return False
+        reservation.resize(size)
+        return True
+
+    def free_memory(
+        self, size: int, beneficiary: CallerConnection | None = None
     ) -> None:
-        lines = [
-            b'HTTP/1.1 %d %s' % (response.status, response.reason),
-            *(b'%s: %s' % header for header in response.headers),
-            b'Content-Length: %d' % len(response.body),
-        ]
-        if not keep_alive:
-            lines.append(b'Connection: close')
-        lines.append(b'\r\n')
-        head = b'\r\n'.join(lines)
-        self.transport.write(head if head_only else head + response.body)
-
-    def _reject(self, status: HTTPStatus) -> None:
-        if self.is_rejected:
-            return
-        self.is_rejected = True
-        if self.task is None:
-            response = CallerResponse(status, [])
-            if status is HTTPStatus.SERVICE_UNAVAILABLE:
-                response.headers.append(_RETRY_AFTER)
-            self._write(response, False, head_only=False)
-        self.transport.close()
-
-    def _abandon(self) -> None:
-        if self.is_closed:
+        """Cut off connections until this much memory is free, if possible."""
+        now = self.loop.time()
+        if self.is_freeing or now < self.next_search:
             return
-        self.is_closed = True
-        self.queue.clear()
-        self.server.connections.discard(self)
-        if self.task is not None:
-            self.task.cancel()
+        self.is_freeing = True
+        budget = self.budget
+        total_bytes = budget.total_bytes
+        others = [each for each in self.connections if each != beneficiary]
+        keys = choose_for_memory(
+            [each.describe(key, now) for key, each in enumerate(others)],
+            budget.used_bytes + size - int(total_bytes * (1 - SPARE_FRACTION)),
+            (budget.used_bytes + size) / total_bytes,
+        )
+        for key in keys:
+            others[key].cut_off(Cause.memory_freed)
+        self.is_freeing = False
+        if budget.used_bytes + size > total_bytes:
+            self.next_search = now + SEARCH_INTERVAL_S
+
+    def count(self, cause: Cause, held_bytes: int) -> None:
+        """Count and log why a connection is cut off or refused."""
+        self.causes.add(
+            cause,
+            self.loop.time(),
+            held_bytes=held_bytes,
+            used_bytes=self.budget.used_bytes,
+            total_bytes=self.budget.total_bytes,
+            connections=len(self.connections),
+        )
--- /dev/null
+++ b/src/jasmineramp/mesh/caller_reader.py
@@ -0,0 +1,227 @@
+"""Parse the requests of one caller, bounded in size."""
+
+import enum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+from jasmineramp.mesh.caller_causes import Cause
+from jasmineramp.mesh.calls import CallerRequest, Headers
+from jasmineramp.mesh.receive_limits import (
+    KIBIBYTE,
+    MAX_BODY_BYTES,
+    Bound,
+    MessageBuffer,
+)
+from jasmineramp.mesh.route_table import CallerLimits
+
+# The parser gets no more at once, because it can't be stopped: the headers of
+# 256 KiB, which one read may return, take 12 MiB as objects.
+PIECE_BYTES = 16 * KIBIBYTE
+# A tuple, two byte strings and an entry of a list, without their content.
+HEADER_MEMORY_BYTES = 160
+# A colon, a space and the end of the line.
+HEADER_FRAMING_BYTES = 4
+# The request, its target and its place in a queue.
+REQUEST_MEMORY_BYTES = 512
+# Clients may send an empty line behind a body, which HTTP/1.1 asks servers to
+# ignore. The line behind each request is counted with the bytes before.
+MAX_EMPTY_LINE_BYTES = KIBIBYTE
+
+
+class Stage(enum.Enum):
+    """Name the part of a request that is being received."""
+
+    between = 'between'
+    head = 'head'
+    body = 'body'
+
+
+class Violation(NamedTuple):
+    """Hold the status that refuses a request, and why."""
+
+    status: HTTPStatus
+    cause: Cause
+
+
+class ParsedRequest(NamedTuple):
+    """Hold a complete request and the memory that it takes."""
+
+    request: CallerRequest
+    keep_alive: bool
+    memory_bytes: int
+
+
+_MALFORMED = Violation(HTTPStatus.BAD_REQUEST, Cause.malformed)
+_LONG_HEAD = Violation(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, Cause.head)
+_LONG_BODY = Violation(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Cause.body)
+_EMPTY_LINES = Violation(HTTPStatus.BAD_REQUEST, Cause.empty_lines)
+
+
+class RequestReader:
+    """Parse requests; the complete ones are collected in `complete`."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.limits = CallerLimits()
+        self.buffer = MessageBuffer(MAX_BODY_BYTES)
+        self.complete: list[ParsedRequest] = []
+        self.begun_count = 0
+        self.wants_continue = False
+        self.stage = Stage.between
+        self.empty_line_bytes = 0
+        self.violation: Violation | None = None
+        # After a protocol upgrade, which is ignored, nothing can be parsed.
+        self.is_finished = False
+        self.headers: Headers = []
+        self.piece_bytes = 0
+        self._reset()
+
+    def feed(
+        self, piece: bytes | memoryview, limits: CallerLimits
+    ) -> Violation | None:
+        """Parse a piece; return why the caller is to be refused, if it is."""
+        self.limits = limits
+        begun_count = self.begun_count
+        size = self.piece_bytes = len(piece)
+        if self.stage is Stage.head:
+            self.head_bytes += size
+        elif self.stage is Stage.body:
+            self.buffer.received_bytes += size
+        else:
+            self.empty_line_bytes += size
+        try:
+            self.parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            return self._ignore_upgrade()
+        except httptools.HttpParserError:
+            return _MALFORMED
+        if begun_count != self.begun_count:
+            self.empty_line_bytes = 0
+        elif self.empty_line_bytes > MAX_EMPTY_LINE_BYTES:
+            return _EMPTY_LINES
+        if self.violation is None and self.stage is not Stage.between:
+            self.violation = self._find_violation()
+        return self.violation
+
+    def memory_bytes(self) -> int:
+        """Return the memory that the unfinished request takes."""
+        if self.stage is Stage.between:
+            return 0
+        return (
+            self.head_bytes
+            + HEADER_MEMORY_BYTES * len(self.headers)
+            + self.buffer.body_bytes
+        )
+
+    def discard(self) -> None:
+        """Free the unfinished request; nothing may be parsed afterwards."""
+        self.stage = Stage.between
+        self.buffer.start_exchange()
+        self._reset()
+
+    def close(self) -> None:
+        """Free all memory.
+
+        Breaks the reference cycle with the parser, so that the memory is
+        freed without the garbage collector; most connections serve only one
+        request.
+        """
+        self.discard()
+        self.complete.clear()
+        self.parser = None
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.head_bytes = self.piece_bytes
+        self.buffer.start_exchange()
+        self.begun_count += 1
+        self.stage = Stage.head
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self.headers.append((name, value))
+        if name.lower() == b'expect' and value.lower() == b'100-continue':
+            self.wants_continue = True
+
+    def on_headers_complete(self) -> None:
+        """Start reading the body; ignore a protocol upgrade."""
+        self.stage = Stage.body
+        if self.head_bytes > self.limits.max_header_bytes:
+            self.head_bytes = len(self.target) + sum(
+                len(name) + len(value) + HEADER_FRAMING_BYTES
+                for name, value in self.headers
+            )
+        if self.parser.should_upgrade():
+            self.headers = [
+                each for each in self.headers if each[0].lower() != b'upgrade'
+            ]
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a chunk of the body."""
+        self.buffer.add_body(body)
+
+    def on_message_complete(self) -> None:
+        """Collect the request unless it exceeds a limit."""
+        self.stage = Stage.between
+        self.empty_line_bytes = 0
+        self.wants_continue = False
+        buffer = self.buffer
+        if self.violation is None:
+            self.violation = self._find_violation()
+        if self.violation is not None:
+            # Neither this request nor one behind it may run.
+            buffer.start_exchange()
+            return
+        memory_bytes = (
+            REQUEST_MEMORY_BYTES
+            + self.head_bytes
+            + HEADER_MEMORY_BYTES * len(self.headers)
+            + buffer.body_bytes
+        )
+        request = CallerRequest(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            buffer.take_body(),
+        )
+        self.complete.append(
+            ParsedRequest(
+                request, self.parser.should_keep_alive(), memory_bytes
+            )
+        )
+
+    def _reset(self) -> None:
+        self.target = b''
+        self.headers = []
+        # All pieces that hold a part of the head. They may also hold a part of
+        # the request before, so this is counted anew if it exceeds the limit.
+        self.head_bytes = 0
+
+    def _find_violation(self) -> Violation | None:
+        limits = self.limits
+        surplus_bytes = PIECE_BYTES if self.stage is Stage.head else 0
+        if self.head_bytes > limits.max_header_bytes + surplus_bytes:
+            return _LONG_HEAD
+        if not self.buffer.body_bytes and not self.buffer.received_bytes:
+            return None
+        excess = self.buffer.find_excess()
+        if excess is not None and excess.bound is Bound.head:
+            return _LONG_HEAD
+        if excess is not None or self.buffer.body_bytes > limits.max_body_bytes:
+            return _LONG_BODY
+        return None
+
+    def _ignore_upgrade(self) -> Violation | None:
+        """Let the request behave as the last one of its connection."""
+        self.is_finished = True
+        if self.violation is None and self.complete:
+            self.complete[-1] = self.complete[-1]._replace(keep_alive=False)
+            return None
+        return self.violation or _MALFORMED
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -11,7 +11,7 @@
 from jasmineramp.membership_messages import Instance
 from jasmineramp.mesh.admitted_call import AdmittedCall
 from jasmineramp.mesh.caller_admission import CallerAdmission
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
     CallerRequest,
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -64,6 +64,11 @@
             'Responses cut off by exceeded bound.',
             metrics.cut_answers,
         ),
+        (
+            'callers_cut_off',
+            'Refused or closed connections of callers by cause.',
+            metrics.cut_callers,
+        ),
     ):
         family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
         for label, count in counter.items():
@@ -106,5 +111,8 @@
         ('nodes', gauges.nodes),
         ('table_age_seconds', gauges.table_age_ms / 1000),
         ('loop_lag_seconds', gauges.loop_lag_ms / 1000),
+        ('caller_connections', gauges.caller_connections),
+        ('message_bytes', gauges.message_bytes),
+        ('message_bytes_limit', gauges.message_bytes_limit),
     ):
         yield GaugeMetricFamily(f'{PREFIX}{name}', name, value=gauge_value)
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -1,6 +1,7 @@
 """Assemble the components of a node and run them on one event loop."""
 
 import asyncio
+import functools
 import importlib
 import random
 import time
@@ -13,7 +14,9 @@
 from jasmineramp.clock import MILLIS_PER_SECOND, Clock, Millis
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.caller_admission import CallerAdmission
-from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
+from jasmineramp.mesh.caller_causes import CauseCounts
+from jasmineramp.mesh.caller_http import CallerServer
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.directory_watch import DirectoryWatch
@@ -34,7 +37,13 @@
 from jasmineramp.mesh.peer_sessions import PeerSession
 from jasmineramp.mesh.platform_binding import Platform
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
-from jasmineramp.mesh.receive_limits import ReceiveBudget, limits_for
+from jasmineramp.mesh.receive_limits import (
+    INTERNAL_BUDGET_FRACTION,
+    ReceiveBudget,
+    connection_limits_for,
+    find_max_descriptors,
+    limits_for,
+)
 from jasmineramp.mesh.relay import Relay
 from jasmineramp.mesh.retry_budget import RepeatBudget, RetryBudget
 from jasmineramp.mesh.route_table import (
@@ -169,18 +178,7 @@
         self.table_watch.is_candidate = self.relay.is_candidate
         self.directory_watch.is_following = self.relay.is_following
         self.directory_watch.is_candidate = self.relay.is_candidate
-        self.caller_server = CallerServer(
-            self.entry.handle, self._caller_limits, self.receive_budget
-        )
-        self.announcement_server = CallerServer(
-            self.local_upstream.handle_announcement, self._caller_limits
-        )
-        self.readiness_server = CallerServer(
-            self._check_readiness, self._caller_limits
-        )
-        self.metrics_server = CallerServer(
-            self._serve_metrics, self._caller_limits
-        )
+        self._make_caller_servers()
         self.stopping_since: Millis | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.ticks = 0
@@ -267,6 +265,35 @@
         self.local_upstream.notify_peers(UpstreamState.draining)
         await self.registration.unregister()
 
+    def _make_caller_servers(self) -> None:
+        connection_limits = connection_limits_for(
+            find_max_descriptors(self.settings.max_descriptors)
+        )
+        causes = CauseCounts(self.metrics.cut_callers, self.log.write)
+        self.caller_server = CallerServer(
+            self.entry.handle,
+            self._caller_limits,
+            self.receive_budget,
+            max_connections=connection_limits.callers,
+            causes=causes,
+        )
+        # What callers do must not keep the platform from these.
+        internal_budget = ReceiveBudget(
+            int(self.receive_limits.total_bytes * INTERNAL_BUDGET_FRACTION)
+        )
+        make_internal = functools.partial(
+            CallerServer,
+            limits=self._caller_limits,
+            budget=internal_budget,
+            max_connections=connection_limits.internal,
+            causes=causes,
+        )
+        self.announcement_server = make_internal(
+            self.local_upstream.handle_announcement
+        )
+        self.readiness_server = make_internal(self._check_readiness)
+        self.metrics_server = make_internal(self._serve_metrics)
+
     def _servers(self) -> tuple[CallerServer, ...]:
         return (
             self.caller_server,
@@ -312,6 +339,9 @@
             self.retry_budget.credit,
             self.gate.pressure.admitted_shares(),
             self.store.counts,
+            len(self.caller_server.connections),
+            self.receive_budget.used_bytes,
+            self.receive_budget.total_bytes,
         )
         renderer = importlib.import_module('jasmineramp.mesh.metrics_text')
         content = renderer.render_metrics(self.metrics, gauges)
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -55,6 +55,9 @@
     retry_credit: Mapping[ServiceName, float]
     admitted_share: Mapping[int, float]
     store_calls: Mapping[tuple[str, str], int]
+    caller_connections: int = 0
+    message_bytes: int = 0
+    message_bytes_limit: int = 0
 
 
 class NodeMetrics:
@@ -65,6 +68,7 @@
         self.failures_by_code: Counter[str] = Counter()
         self.repeats: Counter[str] = Counter()
         self.cut_answers: Counter[str] = Counter()
+        self.cut_callers: Counter[str] = Counter()
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/mesh/node_settings.py
+++ b/src/jasmineramp/mesh/node_settings.py
@@ -31,8 +31,9 @@
 
     Callers and the upstream of this VM send calls to `outbound`, peers
     connect to `inbound`, the upstream sends its announcements to `control`.
-    `memory_bytes` is what the process may use, `store_value_bytes` the
-    largest value in the store.
+    `memory_bytes` is what the process may use, `max_descriptors` how many
+    descriptors it may open (0 if only the system limits them),
+    `store_value_bytes` the largest value in the store.
     """
 
     node: NodeId
@@ -50,3 +51,4 @@
     bounds: Bounds
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     store_value_bytes: int = MEBIBYTE
+    max_descriptors: int = 0
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -5,7 +5,7 @@
 from jasmineramp import routing
 from jasmineramp.clock import Clock, Millis, read_unix_ms
 from jasmineramp.membership_messages import UpstreamState
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.departures import Departed
--- a/src/jasmineramp/mesh/platform_binding.py
+++ b/src/jasmineramp/mesh/platform_binding.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from jasmineramp.ids import Revision
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
     CallerRequest,
--- a/src/jasmineramp/mesh/receive_limits.py
+++ b/src/jasmineramp/mesh/receive_limits.py
@@ -1,6 +1,7 @@
 """Bound the memory that messages take while they are received."""
 
 import enum
+import resource
 from collections import deque
 from collections.abc import Callable
 
@@ -23,12 +24,23 @@
 SMALL_BODY_BYTES = 64 * KIBIBYTE
 # Reserved in advance for a body of unknown length.
 RESERVATION_STEP_BYTES = 256 * KIBIBYTE
+DEFAULT_DESCRIPTORS = 4_096
 DEFAULT_MEMORY_BYTES = 200 * MEBIBYTE
 # A page of items holds about as many bytes as one value; Base64 and JSON add
 # less than half.
 STORE_REPLY_VALUES = 4
 
 
+# Of the budget: heartbeats, readiness checks and scrapes are small.
+INTERNAL_BUDGET_FRACTION = 1 / 8
+# Descriptors for peers, the store, the upstream and internal addresses. Some
+# hundred suffice for the largest known fleet.
+RESERVED_DESCRIPTOR_FRACTION = 1 / 4
+MIN_RESERVED_DESCRIPTORS = 64
+# Of the reserved ones, for each internal address.
+INTERNAL_DESCRIPTOR_FRACTION = 1 / 8
+
+
 class Bound(enum.Enum):
     """Name the bound that a message exceeds."""
 
@@ -67,6 +79,33 @@
     )
 
 
+class ConnectionLimits(msgspec.Struct, frozen=True):
+    """Hold the numbers of connections to the address for callers and others."""
+
+    callers: int
+    internal: int
+
+
+def find_max_descriptors(configured: int) -> int:
+    """Return how many descriptors the process may open."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = configured or DEFAULT_DESCRIPTORS
+    return min(allowed, configured or allowed)
+
+
+def connection_limits_for(max_descriptors: int) -> ConnectionLimits:
+    """Return the limits of a process that may open this many descriptors."""
+    reserved = max(
+        MIN_RESERVED_DESCRIPTORS,
+        int(max_descriptors * RESERVED_DESCRIPTOR_FRACTION),
+    )
+    return ConnectionLimits(
+        max(1, max_descriptors - reserved),
+        int(reserved * INTERNAL_DESCRIPTOR_FRACTION),
+    )
+
+
 class MessageBuffer:
     """Collect the body of a message and count the bytes of an exchange.
 
@@ -128,7 +167,7 @@
 
 
 class ReceiveBudget:
-    """Share a number of bytes among the bodies that are being received."""
+    """Share a number of bytes among the messages that take memory."""
 
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = total_bytes
@@ -172,6 +211,15 @@
             self.budget.release(excess)
         return True
 
+    def resize(self, size: int) -> None:
+        """Reserve this many bytes in all, also beyond the total."""
+        budget = self.budget
+        added_bytes = size - self.size
+        self.size = size
+        budget.used_bytes += added_bytes
+        if added_bytes < 0 and budget.waiting:
+            budget.release(0)
+
     def wait(self, size: int, on_granted: Callable[[], None]) -> None:
         """Call back once this many bytes in all are reserved."""
         self.wanted_size = size
--- a/src/jasmineramp/mesh/responses.py
+++ b/src/jasmineramp/mesh/responses.py
@@ -5,7 +5,7 @@
 from jasmineramp.clock import Clock, Millis
 from jasmineramp.ids import NodeId, RowName
 from jasmineramp.mesh.admitted_call import AdmittedCall
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import (
     MIN_SERVER_ERROR,
     Answer,
--- a/src/jasmineramp/platform/headers.py
+++ b/src/jasmineramp/platform/headers.py
@@ -1,7 +1,7 @@
 """Translate the headers of requests and responses."""
 
 from jasmineramp.clock import MILLIS_PER_SECOND
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import (
     Answer,
     CallerRequest,
--- a/src/jasmineramp/platform/settings.py
+++ b/src/jasmineramp/platform/settings.py
@@ -52,6 +52,7 @@
         store_value_bytes=_read_size(
             fields, 'platform.platform.valueBytes', MEBIBYTE
         ),
+        max_descriptors=_read_count(fields, 'self.limits.maxFds'),
         **addresses,
     )
 
@@ -139,6 +140,11 @@
         ) from None
 
 
+def _read_count(fields: Mapping[str, str], name: str) -> int:
+    """Return a positive number, 0 if the field is absent."""
+    return _read_size(fields, name, 1) if fields.get(name) else 0
+
+
 def _read_size(
     fields: Mapping[str, str], name: str, default_bytes: int, unit: int = 1
 ) -> int:
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -11,7 +11,8 @@
 
 from jasmineramp.clock import MonotonicClock
 from jasmineramp.ids import DomainId, NodeId, ServiceName
-from jasmineramp.mesh.caller_http import CallerResponse, CallerServer
+from jasmineramp.mesh.caller_http import CallerServer
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.node import Node
--- a/tests/mesh/test_caller_http.py
+++ b/tests/mesh/test_caller_http.py
@@ -6,11 +6,9 @@
 import weakref
 from unittest import mock
 
-from jasmineramp.mesh.caller_http import (
-    NEW_CONNECTION_ALLOWANCE_MS,
-    CallerResponse,
-    CallerServer,
-)
+from jasmineramp.mesh.caller_connection import NEW_CONNECTION_ALLOWANCE_MS
+from jasmineramp.mesh.caller_http import CallerServer
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.receive_limits import MEBIBYTE, ReceiveBudget
 from jasmineramp.mesh.route_table import CallerLimits
--- a/tests/mesh/test_fleet_view.py
+++ b/tests/mesh/test_fleet_view.py
@@ -8,7 +8,7 @@
 from jasmineramp.clock import Millis
 from jasmineramp.ids import Revision
 from jasmineramp.membership_messages import UpstreamState
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.directory import ABSENCE_GRACE_MS, entry_key
 from jasmineramp.mesh.peer_links import PeerLink
--- a/tests/mesh/test_graceful_stop.py
+++ b/tests/mesh/test_graceful_stop.py
@@ -11,7 +11,7 @@
 from jasmineramp.clock import ManualClock, later
 from jasmineramp.ids import NodeId, RowName, ServiceName, WorkspaceId
 from jasmineramp.mesh import graceful_stop
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import Answer, CallerRequest, UpstreamCall
 from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.graceful_stop import (
--- a/tests/mesh/test_instance_gate.py
+++ b/tests/mesh/test_instance_gate.py
@@ -3,7 +3,7 @@
 import unittest
 from collections import Counter
 
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.running_calls import Origin
 from tests.fakes.mesh import Fleet
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -7,7 +7,7 @@
 from bench.metadata_store import Fault
 
 from jasmineramp.ids import NodeId
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.directory import KEY_PREFIX
 from jasmineramp.mesh.peer_messages import (
--- a/tests/mesh/test_upstream_http.py
+++ b/tests/mesh/test_upstream_http.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from jasmineramp.mesh.caller_http import CallerConnection, CallerResponse
+from jasmineramp.mesh.caller_connection import CallerConnection
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from tests.fakes.mesh import Fleet
 
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import re
+import resource
 import signal
 import subprocess
 import sys
@@ -13,7 +14,7 @@
 
 from bench.metadata_store import MetadataStore
 
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.directory import KEY_PREFIX
 from tests.fakes.mesh import HOST, FakeUpstream, request
@@ -64,6 +65,9 @@
         self.announce_s = 0.5
         self.longest_work_s = 0.15
         self.told_to_stop = float('inf')
+        self.memory_mib = MEMORY_MIB
+        # The process limit on open descriptors; None leaves it as it is.
+        self.max_descriptors: int | None = None
 
     async def prepare(
         self, platform: RedirectingStore, store_port: int, rng: random.Random
@@ -86,7 +90,7 @@
             f'self.node=n{self.number}',
             f'self.zone=z{self.number % 2}',
             'self.service=orders',
-            f'self.limits.memoryMb={MEMORY_MIB}',
+            f'self.limits.memoryMb={self.memory_mib}',
             f'self.appAddr={HOST}:{self.upstream_port}',
             f'platform.platform.address={HOST}:{store}',
             f'network.internalPortRange={self.ports["metrics"]}',
@@ -95,6 +99,8 @@
             f'network.listen.{name}={HOST}:{self.ports[name]}'
             for name in PORTS[:-1]
         ]
+        if self.max_descriptors is not None:
+            lines.append(f'self.limits.maxFds={self.max_descriptors}')
         self.path.write_text('\n'.join(lines), encoding='utf-8')
 
     async def work(self, call: CallerRequest) -> CallerResponse:
@@ -127,6 +133,11 @@
                     stdout=output,
                     stderr=output,
                 )
+            if self.max_descriptors is not None:
+                limits = (self.max_descriptors, self.max_descriptors)
+                resource.prlimit(
+                    self.process.pid, resource.RLIMIT_NOFILE, limits
+                )
 
     def is_alive(self) -> bool:
         """Tell whether the process runs."""
@@ -142,6 +153,12 @@
         peak = re.search(r'VmHWM:\s+(\d+) kB', status)
         return 0 if peak is None else int(peak[1]) / 1024
 
+    def open_descriptors(self) -> int:
+        """Return the number of open descriptors of the running process."""
+        if self.process is None or not self.is_alive():
+            return 0
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.is_alive():
