Document the memory held for callers and cut its cost for each request

Cause: each request paid for exact counts of its head and for repeated searches of nothing; a search for descriptors closed idle connections together with stalled ones.

One search for descriptors closes idle connections only if none has stalled, and searches examine only connections that hold memory.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -1,11 +1,8 @@
 """Serve HTTP/1.1 on the connection of one caller."""
 
 import asyncio
-import select
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.caller_causes import Cause
@@ -18,8 +15,8 @@
 from jasmineramp.mesh.caller_messages import (
     CONTINUE,
     CallerResponse,
-    Handler,
 )
+from jasmineramp.mesh.caller_owner import ConnectionOwner, has_hung_up
 from jasmineramp.mesh.caller_reader import (
     PIECE_BYTES,
     ParsedRequest,
@@ -28,7 +25,6 @@
 )
 from jasmineramp.mesh.receive_limits import (
     KIBIBYTE,
-    ReceiveBudget,
     Reservation,
 )
 from jasmineramp.mesh.route_table import CallerLimits
@@ -53,46 +49,10 @@
 _RETRY_AFTER = (b'Retry-After', b'0.5')
 
 
-class OpenRequests:
-    """Count the requests in progress, as a context manager."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def __enter__(self) -> None:
-        self.count += 1
-
-    def __exit__(self, *_: object) -> None:
-        self.count -= 1
-
-
-class ConnectionOwner(Protocol):
-    """Share handler, limits and resources among connections."""
-
-    handler: Handler
-    limits: Callable[[], CallerLimits]
-    budget: ReceiveBudget
-    connections: 'set[CallerConnection]'
-    is_draining: bool
-    open_requests: OpenRequests
-
-    def register(self, connection: 'CallerConnection') -> None:
-        """Add a connection; close others if there are too many."""
-
-    def charge(
-        self, connection: 'CallerConnection', size: int, *, must: bool
-    ) -> bool:
-        """Count the memory of a connection; return False if too much."""
-        raise NotImplementedError
-
-    def count(self, cause: Cause, held_bytes: int) -> None:
-        """Count and log why a connection is cut off or refused."""
-
-
 class CallerConnection(asyncio.Protocol):
     """Answer the requests of one connection in order."""
 
-    def __init__(self, server: ConnectionOwner) -> None:
+    def __init__(self, server: "ConnectionOwner['CallerConnection']") -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.reader = RequestReader()
@@ -140,7 +100,7 @@
         """Parse what was received and start what can be started."""
         if self.is_ending:
             return
-        if self.is_reading_body and not self.unsent_bytes:
+        if self.reader.stage is Stage.body and not self.unsent_bytes:
             self.timeout_started = self.loop.time()
         self.moved_bytes += len(data)
         self.unparsed = self.unparsed + data if self.unparsed else data
@@ -218,7 +178,7 @@
         """
         self.settle()
         if self.task is not None and not self.unsent_bytes:
-            if self.is_read_paused and self._has_hung_up():
+            if self.is_read_paused and has_hung_up(self.transport):
                 self._abort()
             return
         limit_ms, cause = self._find_timeout(limits)
@@ -321,7 +281,7 @@
         if self.task is not None or self.is_closed or self.is_write_paused:
             return
         if self.queue:
-            if self.is_read_paused and self._has_hung_up():
+            if self.is_read_paused and has_hung_up(self.transport):
                 self._abort()
                 return
             parsed = self.queue.popleft()
@@ -343,7 +303,10 @@
         keep_alive = parsed.keep_alive and not self.server.is_draining
         self._write(response, keep_alive, head_only=request.method == b'HEAD')
         if keep_alive:
-            self._proceed()
+            if self.queue or self.unparsed or self.refusal is not None:
+                self._proceed()
+            else:
+                self._charge(must=True)
         else:
             self._end()
             self.transport.close()
@@ -353,7 +316,7 @@
     ) -> None:
         head = response.encode_head(keep_alive=keep_alive)
         if not self.unsent_bytes:
-            self.progress_at = self.loop.time()
+            self.progress_at = self.timeout_started
             self.moved_bytes = 0
         if head_only or not response.body:
             self.transport.write(head)
@@ -391,12 +354,12 @@
 
     def _send_refusal(self, status: HTTPStatus) -> None:
         self.refusal = None
+        self.timeout_started = self.loop.time()
         response = CallerResponse(status, [])
         if status is HTTPStatus.SERVICE_UNAVAILABLE:
             response.headers.append(_RETRY_AFTER)
         self._write(response, False, head_only=False)
         if status in _LINGERING_STATUSES:
-            self.timeout_started = self.loop.time()
             self._pause_reading(False)
         else:
             self.transport.close()
@@ -438,8 +401,9 @@
             + self.queued_bytes
             + self.running_bytes
             + self.unsent_bytes
-            + self.reader.memory_bytes()
         )
+        if self.reader.stage is not Stage.between:
+            held_bytes += self.reader.memory_bytes()
         reservation = self.reservation
         if held_bytes == reservation.size:
             return True
@@ -462,11 +426,5 @@
         if is_paused:
             self.transport.pause_reading()
         else:
+            self.progress_at = self.loop.time()
             self.transport.resume_reading()
-
-    def _has_hung_up(self) -> bool:
-        """Return whether the caller has closed; a paused read can't tell."""
-        descriptor = self.transport.get_extra_info('socket').fileno()
-        poll = select.poll()
-        poll.register(descriptor, select.POLLRDHUP)
-        return bool(poll.poll(0))
--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from jasmineramp.mesh.caller_causes import Cause, CauseCounts
-from jasmineramp.mesh.caller_connection import CallerConnection, OpenRequests
+from jasmineramp.mesh.caller_connection import CallerConnection
 from jasmineramp.mesh.caller_memory import (
     SPARE_FRACTION,
     choose_for_descriptors,
@@ -14,6 +14,7 @@
     limit_for,
 )
 from jasmineramp.mesh.caller_messages import Handler
+from jasmineramp.mesh.caller_owner import OpenRequests
 from jasmineramp.mesh.receive_limits import (
     DEFAULT_MEMORY_BYTES,
     KIBIBYTE,
@@ -27,10 +28,14 @@
 # without a limit it holds up to 32 MiB for one connection. The kernel doubles
 # the figure. It allows 8 MiB/s at a round trip of 16 ms.
 KERNEL_BUFFER_BYTES = 128 * KIBIBYTE
-# A search through all connections that frees too little is not repeated sooner.
-SEARCH_INTERVAL_S = 0.02
-# Connections that one search for descriptors closes at most.
-CLOSED_PER_SEARCH = 16
+# A search that frees too little is not repeated sooner. The one for descriptors
+# examines all connections, the one for memory only those that hold some.
+MEMORY_SEARCH_INTERVAL_S = 0.02
+DESCRIPTOR_SEARCH_INTERVAL_S = 0.1
+# What one search for descriptors closes at most: a part of the limit, so that
+# few searches are needed while very many callers connect.
+STALLED_FRACTION_PER_SEARCH = 1 / 16
+IDLE_PER_SEARCH = 4
 
 
 class CallerServer:
@@ -57,7 +62,8 @@
         self.open_requests = OpenRequests()
         self.server: asyncio.Server | None = None
         self.is_freeing = False
-        self.next_search = float('-inf')
+        self.next_memory_search = float('-inf')
+        self.next_descriptor_search = float('-inf')
 
     async def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -108,17 +114,20 @@
         if len(self.connections) <= self.max_connections:
             return
         now = self.loop.time()
-        if now >= self.next_search:
-            others = [each for each in self.connections if each != connection]
+        if now >= self.next_descriptor_search:
+            others = [
+                each for each in self.connections if each is not connection
+            ]
             keys = choose_for_descriptors(
-                (each.describe(key, now) for key, each in enumerate(others)),
-                CLOSED_PER_SEARCH,
+                [each.describe(key, now) for key, each in enumerate(others)],
+                1 + int(self.max_connections * STALLED_FRACTION_PER_SEARCH),
+                IDLE_PER_SEARCH,
             )
             if keys:
                 for key in keys:
                     others[key].cut_off(Cause.connection_limit)
                 return
-            self.next_search = now + SEARCH_INTERVAL_S
+            self.next_descriptor_search = now + DESCRIPTOR_SEARCH_INTERVAL_S
         connection.cut_off(Cause.connection_limit)
 
     def charge(
@@ -145,12 +154,16 @@
     ) -> None:
         """Cut off connections until this much memory is free, if possible."""
         now = self.loop.time()
-        if self.is_freeing or now < self.next_search:
+        if self.is_freeing or now < self.next_memory_search:
             return
         self.is_freeing = True
         budget = self.budget
         total_bytes = budget.total_bytes
-        others = [each for each in self.connections if each != beneficiary]
+        others = [
+            each
+            for each in self.connections
+            if each.reservation.size and each is not beneficiary
+        ]
         keys = choose_for_memory(
             [each.describe(key, now) for key, each in enumerate(others)],
             budget.used_bytes + size - int(total_bytes * (1 - SPARE_FRACTION)),
@@ -160,7 +173,7 @@
             others[key].cut_off(Cause.memory_freed)
         self.is_freeing = False
         if budget.used_bytes + size > total_bytes:
-            self.next_search = now + SEARCH_INTERVAL_S
+            self.next_memory_search = now + MEMORY_SEARCH_INTERVAL_S
 
     def count(self, cause: Cause, held_bytes: int) -> None:
         """Count and log why a connection is cut off or refused."""
--- a/src/jasmineramp/mesh/caller_memory.py
+++ b/src/jasmineramp/mesh/caller_memory.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -43,6 +43,9 @@
     running = 'running'
 
 
+_CAN_STALL = frozenset((Activity.unused, Activity.transfer))
+
+
 class Holding(msgspec.Struct, frozen=True, gc=False):
     """Hold what a connection takes and for how long it has stood still."""
 
@@ -104,23 +107,21 @@
 
 
 def choose_for_descriptors(
-    holdings: Iterable[Holding], count: int
+    holdings: Sequence[Holding], stalled_count: int, idle_count: int
 ) -> list[int]:
-    """Return the keys of at most `count` connections to close.
+    """Return the keys of the connections to close, the longest first.
 
-    Those that have stalled come before idle ones, which callers may be about
-    to use again; of each kind, the longest first.
+    Idle ones, which callers may be about to use again, go only if none has
+    stalled.
     """
-    candidates = [
+    chosen = [
         each
         for each in holdings
-        if each.activity is Activity.idle
-        or (
-            each.activity is not Activity.running
-            and each.stalled_ms >= PATIENCE_MS
-        )
+        if each.activity in _CAN_STALL and each.stalled_ms >= PATIENCE_MS
     ]
-    candidates.sort(
-        key=lambda each: (each.activity is Activity.idle, -each.stalled_ms)
-    )
-    return [each.key for each in candidates[:count]]
+    count = stalled_count
+    if not chosen:
+        chosen = [each for each in holdings if each.activity is Activity.idle]
+        count = idle_count
+    chosen.sort(key=lambda each: each.stalled_ms, reverse=True)
+    return [each.key for each in chosen[:count]]
--- a/src/jasmineramp/platform/check_command.py
+++ b/src/jasmineramp/platform/check_command.py
@@ -28,6 +28,8 @@
                 f'{name} {getattr(settings.bounds, name):g}'
                 for name in settings.bounds.__struct_fields__
             ),
+            f'memory_bytes {settings.memory_bytes}',
+            f'max_descriptors {settings.max_descriptors or "of the process"}',
         ]
         return Report('\n'.join(lines), settings)
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -415,6 +415,14 @@
         self.assertEqual(status, 502)
 
     async def test_metrics_count_calls_and_refusals(self) -> None:
+        _, writer = await asyncio.open_connection(
+            *self.fleet.nodes[0].settings.outbound
+        )
+        writer.write(b'nonsense')
+        await self.fleet.until(
+            lambda: bool(self.fleet.nodes[0].metrics.cut_callers)
+        )
+        writer.close()
         await self.fleet.call(0, '/read/1', 'id-1')
         await self.fleet.call(0, '/read/1', 'id-2', key='other')
         status, _, body = await request(
@@ -425,6 +433,8 @@
             b'jasmineramp_calls_total{outcome="answered",row="read"} 1.0',
             b'jasmineramp_refusals_total{name="key_unknown"} 1.0',
             b'jasmineramp_call_seconds_bucket{le="15.0"} 1.0',
+            b'jasmineramp_callers_cut_off_total{name="malformed"} 1.0',
+            b'jasmineramp_message_bytes_limit 2.6',
         ):
             self.assertIn(line, body)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,6 +20,7 @@
 terms.bounds.revoke=5s
 terms.bounds.retryBudgetRatio=0.2
 self.limits.memoryMb=300
+self.limits.maxFds=4100
 platform.platform.valueBytes=524288
 unknown.field=1
 """
@@ -35,6 +36,9 @@
         self.assertEqual(settings.bounds.drain_ms, 2000)
         self.assertEqual(settings.memory_bytes, 300 * 1024 * 1024)
         self.assertEqual(settings.store_value_bytes, 524_288)
+        self.assertEqual(settings.max_descriptors, 4_100)
+        without = decode_settings(LINES.replace('self.limits.maxFds=4100', ''))
+        self.assertEqual(without.max_descriptors, 0)
 
     def test_missing_fields_are_named(self) -> None:
         for line, place in (
