Run the requests of a connection in a module of their own

Deadlines count from when the last bytes of a request arrived, also if these then waited to be parsed. A connection that drops what follows reads on, so that it notices when the caller leaves and does not reset the answers on closing.

New tests check that held answers and running requests count in the memory budget, that a request without memory is refused in its turn, and that no fault of the handler leaves the connection open without a response.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -15,6 +15,7 @@
 from jasmineramp.mesh.caller_messages import (
     CONTINUE,
     CallerResponse,
+    make_refusal,
 )
 from jasmineramp.mesh.caller_owner import ConnectionOwner, has_hung_up
 from jasmineramp.mesh.caller_pipeline import (
@@ -22,11 +23,8 @@
     PendingRequest,
     Pipeline,
 )
-from jasmineramp.mesh.caller_reader import (
-    PIECE_BYTES,
-    RequestReader,
-    Stage,
-)
+from jasmineramp.mesh.caller_reader import PIECE_BYTES, RequestReader, Stage
+from jasmineramp.mesh.caller_tasks import RequestTasks
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.receive_limits import KIBIBYTE, Reservation
 from jasmineramp.mesh.route_table import CallerLimits
@@ -47,8 +45,6 @@
 _LINGERING_STATUSES = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 )
-# Sent while too little memory is free for a request.
-_RETRY_AFTER = (b'Retry-After', b'0.5')
 
 
 class CallerConnection(asyncio.Protocol):
@@ -71,7 +67,7 @@
             server.pipelined,
             max_waiting=sys.maxsize,
         )
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = RequestTasks(server.handler, server.open_requests)
         self.is_closed = False
         # What else the caller sends is dropped.
         self.is_ending = False
@@ -79,6 +75,9 @@
         self.is_write_paused = False
         self.reservation = Reservation(server.budget)
         self.timeout_started = self.progress_at = self.loop.time()
+        # When the last bytes arrived, which complete any request parsed now:
+        # nothing is received while some wait to be parsed.
+        self.received_at = self.timeout_started
         self.moved_bytes = 0
         self.unsent_bytes = 0
 
@@ -109,8 +108,9 @@
         """Parse what was received and start what can be started."""
         if self.is_ending:
             return
+        self.received_at = self.loop.time()
         if self.reader.stage is Stage.body and not self.unsent_bytes:
-            self.timeout_started = self.loop.time()
+            self.timeout_started = self.received_at
         self.moved_bytes += len(data)
         self.unparsed = self.unparsed + data if self.unparsed else data
         self._proceed()
@@ -264,9 +264,8 @@
             self.timeout_started = self.progress_at = self.loop.time()
             self.moved_bytes = 0
         if reader.complete:
-            now = self.loop.time()
             for parsed in reader.complete:
-                parsed.request.read_at = now
+                parsed.request.read_at = self.received_at
                 self.pipeline.add(
                     parsed.request,
                     closes=not parsed.keep_alive,
@@ -297,61 +296,48 @@
 
     def _start_requests(self) -> None:
         """Start what may start, unless responses wait to be taken."""
-        waiting_count = self.pipeline.waiting_count
-        if not waiting_count or self.is_closed or self.is_write_paused:
+        if (
+            self.is_closed
+            or self.is_write_paused
+            or not self.pipeline.waiting_count
+        ):
             return
         if self.is_read_paused and has_hung_up(self.transport):
             self._abort()
             return
         for pending in self.pipeline.take_startable():
-            task = self.loop.create_task(self._answer(pending))
-            self.tasks.add(task)
-            task.add_done_callback(self._end_task)
+            self.tasks.start(pending, self)
 
-    async def _answer(
-        self, pending: PendingRequest[CallerRequest, CallerResponse]
+    def finish(
+        self,
+        pending: PendingRequest[CallerRequest, CallerResponse],
+        response: CallerResponse,
     ) -> None:
-        request = pending.request
-        if request is None:
-            return
-        request.waited_ms = (
-            self.loop.time() - request.read_at
-        ) * MILLIS_PER_SECOND
-        with self.server.open_requests:
-            response = await self._handle(request)
-        self.timeout_started = self.loop.time()
+        """Write a response once its turn comes, and go on."""
         if self.is_closed:
             return
+        self.timeout_started = self.loop.time()
         self.pipeline.finish(pending, response, closes=self.server.is_draining)
         if self.pipeline.is_complete and not self.is_ending:
             self._drop_unparsed()
         self._write_responses()
-        if self.is_closed or self.pipeline.is_finished():
+        if self.pipeline.is_finished():
             return
         self._charge(must=True)
         if self.unparsed or self.pipeline.waiting_count:
             self._proceed()
 
-    async def _handle(self, request: CallerRequest) -> CallerResponse:
-        """Return the response; a fault of the handler is an internal error."""
-        try:
-            return await self.server.handler(request)
-        except Exception as error:
-            self.server.count(
-                Cause.internal_error, self.reservation.size, repr(error)
-            )
-            return CallerResponse(HTTPStatus.INTERNAL_SERVER_ERROR, [])
+    def report_fault(self, error: BaseException, *, is_answered: bool) -> None:
+        """Count a fault of the node; disconnect if there is no response.
 
-    def _end_task(self, task: asyncio.Task[None]) -> None:
-        """Disconnect if a request ended without a response."""
-        self.tasks.discard(task)
-        if self.is_closed:
+        Without one, the requests behind would wait for it without end.
+        """
+        if self.is_closed and isinstance(error, asyncio.CancelledError):
             return
-        error = 'cancelled' if task.cancelled() else task.exception()
-        if error is not None:
-            self.server.count(
-                Cause.internal_error, self.reservation.size, repr(error)
-            )
+        self.server.count(
+            Cause.internal_error, self.reservation.size, repr(error)
+        )
+        if not is_answered and not self.is_closed:
             self._abort()
 
     def _write_responses(self) -> None:
@@ -395,10 +381,7 @@
         """Read no more; refuse once earlier requests have been answered."""
         if self.pipeline.is_complete:
             return
-        response = CallerResponse(status, [])
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
-            response.headers.append(_RETRY_AFTER)
-        self.pipeline.reject(response)
+        self.pipeline.reject(make_refusal(status))
         self._drop_unparsed()
         self._write_responses()
 
@@ -420,9 +403,7 @@
         """Close after what has been written."""
         self.timeout_started = self.loop.time()
         self._drop_unparsed()
-        if lingers:
-            self._pause_reading(False)
-        else:
+        if not lingers:
             self.transport.close()
 
     def _drop_unparsed(self) -> None:
@@ -430,6 +411,7 @@
         self.unparsed = b''
         self.reader.discard()
         self._charge(must=True)
+        self._pause_reading(False)
 
     def _abandon(self) -> None:
         if self.is_closed:
@@ -438,8 +420,7 @@
         self.pipeline.clear()
         self._drop_unparsed()
         self.reader.close()
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
 
     def _abort(self) -> None:
         self._abandon()
--- a/src/jasmineramp/mesh/caller_messages.py
+++ b/src/jasmineramp/mesh/caller_messages.py
@@ -6,6 +6,8 @@
 from jasmineramp.mesh.calls import CallerRequest, Headers
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Sent while too little memory is free for a request.
+_RETRY_AFTER = (b'Retry-After', b'0.5')
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
@@ -41,6 +43,12 @@
         return b'\r\n'.join(lines)
 
 
+def make_refusal(status: HTTPStatus) -> CallerResponse:
+    """Return the response to a request that is unusable or finds no room."""
+    is_temporary = status is HTTPStatus.SERVICE_UNAVAILABLE
+    return CallerResponse(status, [_RETRY_AFTER] if is_temporary else [])
+
+
 Handler = Callable[[CallerRequest], Awaitable[CallerResponse]]
 # Tells whether a request may run beside others of its connection.
 KindReader = Callable[[CallerRequest], bool]
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -23,8 +23,8 @@
 LONG_RESPONSE_BYTES = 2 * MEBIBYTE
 
 
-class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
-    """Test one server with a small budget."""
+class CallerConnectionBase(unittest.IsolatedAsyncioTestCase):
+    """Start a server with a small budget."""
 
     async def asyncSetUp(self) -> None:
         self.kept: list[tuple[object, object]] = []
@@ -87,6 +87,10 @@
         now = asyncio.get_running_loop().time()
         return now + self.limits.idle_timeout_ms / 1000 + 1
 
+
+class CallerConnectionTest(CallerConnectionBase):
+    """Test one server with a small budget."""
+
     # Guards against responses that pile up for a caller that reads none.
     async def test_no_request_starts_before_responses_are_taken(self) -> None:
         self.response_size = LONG_RESPONSE_BYTES
@@ -214,3 +218,89 @@
             limits = connection_limits_for(count)
             self.assertLess(limits.callers + 3 * limits.internal, count - 40)
             self.assertGreater(limits.callers, count / 2)
+
+
+class SideBySideTest(CallerConnectionBase):
+    """Test requests of one connection that run at the same time."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.server.is_idempotent = lambda request: request.method == b'GET'
+        self.faults: dict[bytes, BaseException] = {}
+        self.server.handler = self.hold_first
+
+    async def hold_first(self, request: CallerRequest) -> CallerResponse:
+        """Answer all but the first request at once, or raise."""
+        self.targets.append(request.target)
+        if request.target in self.faults:
+            raise self.faults[request.target]
+        if request.target == b'/0':
+            await self.gate.wait()
+        return CallerResponse(200, [], b'x' * self.response_size)
+
+    # Guards against memory beyond the budget in answers that wait for an
+    # earlier one, and in the requests of all tasks.
+    async def test_held_answers_count_until_they_are_sent(self) -> None:
+        self.gate.clear()
+        self.response_size = 200_000
+        reader, _ = await self.connect(GET % 0 + GET % 1)
+        await self.until(lambda: self.budget.used_bytes > 200_000)
+        self.assertLess(self.budget.used_bytes, 210_000)
+        self.gate.set()
+        await self.until(lambda: self.budget.used_bytes < 390_000)
+        async with asyncio.timeout(DEADLINE_S):
+            for _ in range(2):
+                await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(self.response_size)
+        self.server.expire(asyncio.get_running_loop().time())
+        self.assertEqual(self.budget.used_bytes, 0)
+
+    async def test_running_requests_count_with_their_bodies(self) -> None:
+        self.gate.clear()
+        get = b'GET /%d HTTP/1.1\r\nContent-Length: 40000\r\n\r\n'
+        body = b'x' * 40_000
+        _, writer = await self.connect(get % 0 + body + get % 1 + body)
+        await self.until(lambda: len(self.targets) == 2)
+        self.assertGreater(self.budget.used_bytes, 80_000)
+        writer.close()
+        await self.until(lambda: not self.server.connections)
+        self.assertEqual(self.budget.used_bytes, 0)
+
+    # Guards against a request beyond the budget whose refusal overtakes or
+    # cuts off the answers before it.
+    async def test_request_without_memory_is_refused_in_its_turn(self) -> None:
+        self.gate.clear()
+        reader, writer = await self.connect(GET % 0)
+        await self.until(lambda: self.targets)
+        self.assertTrue(self.budget.try_reserve(4 * MEBIBYTE - 40_000))
+        writer.write(POST % (1, 50_000) + b'x' * 50_000)
+        await self.until(lambda: self.counts[Cause.no_memory.value])
+        self.gate.set()
+        async with asyncio.timeout(DEADLINE_S):
+            self.assertIn(b' 200 ', await reader.readuntil(b'\r\n\r\n'))
+            await reader.readexactly(2)
+            self.assertIn(b' 503 ', await reader.readline())
+        self.assertEqual(self.targets, [b'/0'])
+
+    # Guards against connections that hang after a fault of the node.
+    async def test_fault_of_the_handler_is_answered_in_its_turn(self) -> None:
+        self.faults[b'/1'] = ValueError('wrong')
+        self.gate.clear()
+        reader, _ = await self.connect(GET % 0 + GET % 1 + GET % 2)
+        await self.until(lambda: len(self.targets) == 3)
+        self.gate.set()
+        self.server.drain()
+        content = await self.read_all(reader)
+        self.assertEqual(
+            [each[:3] for each in content.split(b'HTTP/1.1 ')[1:]],
+            [b'200', b'500', b'200'],
+        )
+        self.assertEqual(self.lines, [Cause.internal_error.value])
+
+    async def test_task_without_a_response_closes_the_connection(self) -> None:
+        self.faults[b'/1'] = asyncio.CancelledError()
+        self.gate.clear()
+        await self.connect(GET % 0 + GET % 1)
+        await self.until(lambda: self.targets and not self.server.connections)
+        self.assertEqual(self.lines, [Cause.internal_error.value])
+        self.assertEqual(self.budget.used_bytes, 0)
