Split the flow control off the connection of callers

A caller that announces a body behind a request in progress got 100 Continue before the earlier answer, which it could take for a response to the earlier request. It is sent once the earlier requests have been answered. The new test fails without the change.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -6,12 +6,8 @@
 
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.caller_causes import Cause
-from jasmineramp.mesh.caller_memory import (
-    MIN_MOVED_BYTES,
-    Activity,
-    Holding,
-    has_moved,
-)
+from jasmineramp.mesh.caller_flow import CallerFlow
+from jasmineramp.mesh.caller_memory import MIN_MOVED_BYTES, Activity, Holding
 from jasmineramp.mesh.caller_messages import (
     CONTINUE,
     CallerResponse,
@@ -26,16 +22,12 @@
 from jasmineramp.mesh.caller_reader import PIECE_BYTES, RequestReader, Stage
 from jasmineramp.mesh.caller_tasks import RequestTasks
 from jasmineramp.mesh.calls import CallerRequest
-from jasmineramp.mesh.receive_limits import KIBIBYTE, Reservation
+from jasmineramp.mesh.receive_limits import KIBIBYTE
 from jasmineramp.mesh.route_table import CallerLimits
 
 # Of requests that are read ahead on one connection, as many as
 # MAX_PIPELINED_REQUESTS.
 READ_AHEAD_BYTES = 64 * KIBIBYTE
-# No request is started while more of earlier responses has not been taken.
-WRITE_HIGH_WATER_BYTES = 64 * KIBIBYTE
-# Shorter responses are counted only if they have not been sent some time later.
-SMALL_RESPONSE_BYTES = 4 * KIBIBYTE
 # A caller sends its first request right after connecting, and it is reset if
 # the connection is closed before the request is read.
 NEW_CONNECTION_ALLOWANCE_MS = 500
@@ -47,15 +39,15 @@
 )
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(CallerFlow):
     """Answer the requests of one connection in order.
 
     The pipeline decides which requests run side by side.
     """
 
     def __init__(self, server: "ConnectionOwner['CallerConnection']") -> None:
+        super().__init__(server.budget)
         self.server = server
-        self.loop = asyncio.get_running_loop()
         self.reader = RequestReader()
         # What was received but must wait until it can be parsed.
         self.unparsed = b''
@@ -68,18 +60,11 @@
             max_waiting=sys.maxsize,
         )
         self.tasks = RequestTasks(server.handler, server.open_requests)
-        self.is_closed = False
         # What else the caller sends is dropped.
         self.is_ending = False
-        self.is_read_paused = False
-        self.is_write_paused = False
-        self.reservation = Reservation(server.budget)
-        self.timeout_started = self.progress_at = self.loop.time()
         # When the last bytes arrived, which complete any request parsed now:
         # nothing is received while some wait to be parsed.
         self.received_at = self.timeout_started
-        self.moved_bytes = 0
-        self.unsent_bytes = 0
 
     @property
     def is_reading_body(self) -> bool:
@@ -88,8 +73,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
-        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        super().connection_made(transport)
         self.server.register(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -115,13 +99,9 @@
         self.unparsed = self.unparsed + data if self.unparsed else data
         self._proceed()
 
-    def pause_writing(self) -> None:
-        """Start no request until the caller has taken earlier responses."""
-        self.is_write_paused = True
-
     def resume_writing(self) -> None:
         """Go on with the requests of the connection."""
-        self.is_write_paused = False
+        super().resume_writing()
         if not self.is_closed:
             self._proceed()
 
@@ -157,16 +137,7 @@
             activity = Activity.unused
         else:
             activity = Activity.idle
-        if activity is Activity.transfer:
-            since = self.progress_at
-        else:
-            since = self.timeout_started
-        return Holding(
-            key,
-            activity,
-            self.reservation.size,
-            (now - since) * MILLIS_PER_SECOND,
-        )
+        return self.make_holding(key, activity, now)
 
     def cut_off(self, cause: Cause) -> None:
         """Refuse the unfinished request as not run, or disconnect."""
@@ -200,18 +171,24 @@
         else:
             self.transport.close()
 
-    def settle(self) -> None:
-        """Count the part of the responses that the caller has taken."""
-        unsent_bytes = self.transport.get_write_buffer_size()
-        if unsent_bytes == self.unsent_bytes:
-            return
-        if unsent_bytes < self.unsent_bytes:
-            self.moved_bytes += self.unsent_bytes - unsent_bytes
-            self.timeout_started = self.loop.time()
-        self.unsent_bytes = unsent_bytes
-        if not self.is_closed:
-            self._note_progress()
-        self._charge(must=True)
+    def charge(self, *, must: bool = False) -> bool:
+        """Count the memory held; return False if it is not to be had."""
+        held_bytes = (
+            len(self.unparsed)
+            + self.pipeline.memory_bytes()
+            + self.unsent_bytes
+        )
+        if self.reader.stage is not Stage.between:
+            held_bytes += self.reader.memory_bytes()
+        reservation = self.reservation
+        if held_bytes == reservation.size:
+            return True
+        budget = reservation.budget
+        used_bytes = budget.used_bytes + held_bytes - reservation.size
+        if held_bytes < reservation.size or used_bytes <= budget.total_bytes:
+            reservation.resize(held_bytes)
+            return True
+        return self.server.charge(self, held_bytes, must=must)
 
     def _find_timeout(self, limits: CallerLimits) -> tuple[float, Cause | None]:
         """Return the timeout that applies and the cause to be counted."""
@@ -231,13 +208,13 @@
             if self.unparsed and not self.is_ending:
                 self._parse()
             if self.moved_bytes >= MIN_MOVED_BYTES:
-                self._note_progress()
-            if not self._charge():
+                self.note_progress()
+            if not self.charge():
                 self._refuse_for_memory()
             self._start_requests()
             # Started requests make room for those behind them.
             can_parse = bool(self.unparsed) and not self._is_full()
-        self._pause_reading(bool(self.unparsed))
+        self.pause_reading(is_paused=bool(self.unparsed))
 
     def _parse(self) -> None:
         data = self.unparsed
@@ -277,8 +254,13 @@
         elif violation is not None:
             self.server.count(violation.cause, self.reservation.size)
             self._refuse(violation.status)
-        elif reader.wants_continue:
-            reader.wants_continue = False
+        else:
+            self._continue_body()
+
+    def _continue_body(self) -> None:
+        """Send 100 Continue if asked, after the responses to earlier ones."""
+        if self.reader.wants_continue and not self.pipeline.pending:
+            self.reader.wants_continue = False
             self.transport.write(CONTINUE)
 
     def _is_full(self) -> bool:
@@ -323,7 +305,8 @@
         self._write_responses()
         if self.pipeline.is_finished():
             return
-        self._charge(must=True)
+        self._continue_body()
+        self.charge(must=True)
         if self.unparsed or self.pipeline.waiting_count:
             self._proceed()
 
@@ -348,9 +331,9 @@
         for position, (pending, response) in enumerate(writable):
             request = pending.request
             closes = position == last and pipeline.is_finished()
-            self._write(
+            self.write_response(
                 response,
-                not closes,
+                keep_alive=not closes,
                 head_only=request is not None and request.method == b'HEAD',
             )
             if closes:
@@ -360,23 +343,6 @@
                     and response.status in _LINGERING_STATUSES
                 )
 
-    def _write(
-        self, response: CallerResponse, keep_alive: bool, *, head_only: bool
-    ) -> None:
-        head = response.encode_head(keep_alive=keep_alive)
-        if not self.unsent_bytes:
-            self.progress_at = self.timeout_started
-            self.moved_bytes = 0
-        if head_only or not response.body:
-            self.transport.write(head)
-        elif len(response.body) <= SMALL_RESPONSE_BYTES:
-            self.transport.write(head + response.body)
-        else:
-            self.transport.writelines((head, response.body))
-            self.settle()
-            # The transport sends when the loop is next idle.
-            self.loop.call_soon(self.settle)
-
     def _refuse(self, status: HTTPStatus) -> None:
         """Read no more; refuse once earlier requests have been answered."""
         if self.pipeline.is_complete:
@@ -393,11 +359,11 @@
         if self.is_reading_request():
             self.reader.discard()
         elif not self.pipeline.withdraw_last():
-            self._charge(must=True)
+            self.charge(must=True)
             return
         self.server.count(Cause.no_memory, self.reservation.size)
         self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
-        self._charge(must=True)
+        self.charge(must=True)
 
     def _end(self, *, lingers: bool) -> None:
         """Close after what has been written."""
@@ -410,8 +376,8 @@
         self.is_ending = True
         self.unparsed = b''
         self.reader.discard()
-        self._charge(must=True)
-        self._pause_reading(False)
+        self.charge(must=True)
+        self.pause_reading(is_paused=False)
 
     def _abandon(self) -> None:
         if self.is_closed:
@@ -428,40 +394,6 @@
         self.unsent_bytes = 0
         self.reservation.release()
 
-    def _charge(self, *, must: bool = False) -> bool:
-        """Count the memory held; return False if it is not to be had."""
-        held_bytes = (
-            len(self.unparsed)
-            + self.pipeline.memory_bytes()
-            + self.unsent_bytes
-        )
-        if self.reader.stage is not Stage.between:
-            held_bytes += self.reader.memory_bytes()
-        reservation = self.reservation
-        if held_bytes == reservation.size:
-            return True
-        budget = reservation.budget
-        used_bytes = budget.used_bytes + held_bytes - reservation.size
-        if held_bytes < reservation.size or used_bytes <= budget.total_bytes:
-            reservation.resize(held_bytes)
-            return True
-        return self.server.charge(self, held_bytes, must=must)
-
-    def _note_progress(self) -> None:
-        if has_moved(self.moved_bytes, self.reservation.size):
-            self.progress_at = self.loop.time()
-            self.moved_bytes = 0
-
-    def _pause_reading(self, is_paused: bool) -> None:
-        if self.is_closed or self.is_read_paused is is_paused:
-            return
-        self.is_read_paused = is_paused
-        if is_paused:
-            self.transport.pause_reading()
-        else:
-            self.progress_at = self.loop.time()
-            self.transport.resume_reading()
-
 
 def _body_bytes(response: CallerResponse) -> int:
     return len(response.body)
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -304,3 +304,19 @@
         await self.until(lambda: self.targets and not self.server.connections)
         self.assertEqual(self.lines, [Cause.internal_error.value])
         self.assertEqual(self.budget.used_bytes, 0)
+
+    # Guards against an interim response in place of an earlier final one.
+    async def test_continue_follows_earlier_answers(self) -> None:
+        self.gate.clear()
+        expect = b'Expect: 100-continue\r\n\r\n'
+        reader, writer = await self.connect(
+            GET % 0 + (POST % (1, 2)).replace(b'\r\n\r\n', b'\r\n' + expect)
+        )
+        await self.until(lambda: self.targets)
+        self.gate.set()
+        async with asyncio.timeout(DEADLINE_S):
+            self.assertIn(b' 200 ', await reader.readuntil(b'\r\n\r\n'))
+            await reader.readexactly(2)
+            self.assertIn(b' 100 ', await reader.readuntil(b'\r\n\r\n'))
+            writer.write(b'xx')
+            self.assertIn(b' 200 ', await reader.readline())
