End the response direction at once after a refusal that lingers

Cause: a caller that reads until the end of the connection got its refusal only after the second for which the node reads the rest of its request.

Change: the node ends its direction with the refusal and reads on. Tests guard the refusal of a caller that is still sending, and the response to a request that asks for a protocol upgrade, which the node closed without one before (seen on the untouched code).

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -360,6 +360,7 @@
             response.headers.append(_RETRY_AFTER)
         self._write(response, False, head_only=False)
         if status in _LINGERING_STATUSES:
+            self.transport.write_eof()
             self._pause_reading(False)
         else:
             self.transport.close()
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -123,6 +123,28 @@
         response = await self.read_all(reader)
         self.assertLess(response.index(b' 200 '), response.index(b' 400 '))
 
+    async def test_request_for_an_upgrade_is_answered(self) -> None:
+        reader, _ = await self.connect(
+            b'GET /1 HTTP/1.1\r\nHost: a\r\n'
+            b'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n'
+        )
+        self.assertIn(b' 200 ', await self.read_all(reader))
+
+    # Guards against a reset that takes the refusal from a caller which is
+    # still sending.
+    async def test_refusal_reaches_a_caller_that_sends(self) -> None:
+        self.assertTrue(self.budget.try_reserve(self.budget.total_bytes))
+        size = 900_000
+        reader, writer = await self.connect(POST % (1, size))
+        for _ in range(9):
+            writer.write(b'x' * (size // 10))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        response = await self.read_all(reader)
+        self.assertIn(b' 503 ', response)
+        self.assertIn(b'Retry-After', response)
+        self.assertEqual(self.targets, [])
+
     # Guards against 4xx refusals of proper requests that are read ahead.
     async def test_many_requests_at_once_are_all_answered(self) -> None:
         reader, _ = await self.connect(
