Reduce the work for each piece that a caller sends

Cause: members of an enumeration take 0.19 us to look up, which each piece did about ten times, and a short piece was parsed on the path for long ones.

Change: the stages are module constants; a short piece that finds nothing before it goes to the parser directly.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -18,10 +18,12 @@
 )
 from jasmineramp.mesh.caller_owner import ConnectionOwner, has_hung_up
 from jasmineramp.mesh.caller_reader import (
+    BETWEEN,
+    BODY,
+    HEAD,
     PIECE_BYTES,
     ParsedRequest,
     RequestReader,
-    Stage,
 )
 from jasmineramp.mesh.receive_limits import (
     KIBIBYTE,
@@ -76,7 +78,7 @@
     @property
     def is_reading_body(self) -> bool:
         """Tell whether the body of a request has been received in part."""
-        return self.reader.stage is Stage.body
+        return self.reader.stage is BODY
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -100,10 +102,15 @@
         """Parse what was received and start what can be started."""
         if self.is_ending:
             return
-        if self.reader.stage is Stage.body and not self.unsent_bytes:
+        if self.reader.stage is BODY and not self.unsent_bytes:
             self.timeout_started = self.loop.time()
         self.moved_bytes += len(data)
-        self.unparsed = self.unparsed + data if self.unparsed else data
+        if self.unparsed:
+            self.unparsed += data
+        elif len(data) <= PIECE_BYTES and not self._is_full():
+            self._feed(data, self.server.limits())
+        else:
+            self.unparsed = data
         self._proceed()
 
     def pause_writing(self) -> None:
@@ -128,7 +135,7 @@
 
     def is_reading_request(self) -> bool:
         """Return whether a request has been received only in part."""
-        return self.reader.stage is not Stage.between
+        return self.reader.stage is not BETWEEN
 
     def is_new(self) -> bool:
         """Return whether the first request may still be on its way."""
@@ -210,7 +217,7 @@
             return limits.idle_timeout_ms, Cause.slow_reader
         if self.is_ending:
             return LINGER_MS, None
-        if self.reader.stage is Stage.head:
+        if self.reader.stage is HEAD:
             return limits.header_timeout_ms, Cause.header_timeout
         cause = Cause.body_timeout if self.is_reading_body else None
         return limits.idle_timeout_ms, cause
@@ -232,10 +239,6 @@
         data = self.unparsed
         size = len(data)
         limits = self.server.limits()
-        if size <= PIECE_BYTES and not self._is_full():
-            self.unparsed = b''
-            self._feed(data, limits)
-            return
         position = 0
         while position < size and not self._is_full():
             piece = memoryview(data)[position : position + PIECE_BYTES]
@@ -266,12 +269,11 @@
 
     def _is_full(self) -> bool:
         """Return whether nothing more may be read ahead now."""
-        if self.reader.is_finished:
-            return True
         if self.task is None and not self.queue and not self.is_write_paused:
-            return False
+            return self.reader.is_finished
         return (
-            len(self.queue) >= MAX_PIPELINED_REQUESTS
+            self.reader.is_finished
+            or len(self.queue) >= MAX_PIPELINED_REQUESTS
             or self.queued_bytes + self.reader.memory_bytes()
             >= READ_AHEAD_BYTES
         )
@@ -403,7 +405,7 @@
             + self.running_bytes
             + self.unsent_bytes
         )
-        if self.reader.stage is not Stage.between:
+        if self.reader.stage is not BETWEEN:
             held_bytes += self.reader.memory_bytes()
         reservation = self.reservation
         if held_bytes == reservation.size:
--- a/src/jasmineramp/mesh/caller_reader.py
+++ b/src/jasmineramp/mesh/caller_reader.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import httptools
+import msgspec
 
 from jasmineramp.mesh.caller_causes import Cause
 from jasmineramp.mesh.calls import CallerRequest, Headers
@@ -38,6 +39,12 @@
     body = 'body'
 
 
+# Looking up a member of an enumeration takes six times as long.
+BETWEEN = Stage.between
+HEAD = Stage.head
+BODY = Stage.body
+
+
 class Violation(NamedTuple):
     """Hold the status that refuses a request, and why."""
 
@@ -45,7 +52,7 @@
     cause: Cause
 
 
-class ParsedRequest(NamedTuple):
+class ParsedRequest(msgspec.Struct, gc=False):
     """Hold a complete request and the memory that it takes."""
 
     request: CallerRequest
@@ -69,7 +76,7 @@
         self.complete: list[ParsedRequest] = []
         self.begun_count = 0
         self.wants_continue = False
-        self.stage = Stage.between
+        self.stage = BETWEEN
         self.empty_line_bytes = 0
         self.violation: Violation | None = None
         # After a protocol upgrade, which is ignored, nothing can be parsed.
@@ -85,9 +92,9 @@
         self.limits = limits
         begun_count = self.begun_count
         size = self.piece_bytes = len(piece)
-        if self.stage is Stage.head:
+        if self.stage is HEAD:
             self.head_bytes += size
-        elif self.stage is Stage.body:
+        elif self.stage is BODY:
             self.buffer.received_bytes += size
         else:
             self.empty_line_bytes += size
@@ -101,13 +108,13 @@
             self.empty_line_bytes = 0
         elif self.empty_line_bytes > MAX_EMPTY_LINE_BYTES:
             return _EMPTY_LINES
-        if self.violation is None and self.stage is not Stage.between:
+        if self.violation is None and self.stage is not BETWEEN:
             self.violation = self._find_violation()
         return self.violation
 
     def memory_bytes(self) -> int:
         """Return the memory that the unfinished request takes."""
-        if self.stage is Stage.between:
+        if self.stage is BETWEEN:
             return 0
         return (
             self.head_bytes
@@ -117,7 +124,7 @@
 
     def discard(self) -> None:
         """Free the unfinished request; nothing may be parsed afterwards."""
-        self.stage = Stage.between
+        self.stage = BETWEEN
         self.buffer.start_exchange()
         self._reset()
 
@@ -138,7 +145,7 @@
         self.head_bytes = self.piece_bytes
         self.buffer.start_exchange()
         self.begun_count += 1
-        self.stage = Stage.head
+        self.stage = HEAD
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -152,7 +159,7 @@
 
     def on_headers_complete(self) -> None:
         """Start reading the body; ignore a protocol upgrade."""
-        self.stage = Stage.body
+        self.stage = BODY
         if self.head_bytes > self.limits.max_header_bytes:
             self.head_bytes = len(self.target) + sum(
                 len(name) + len(value) + HEADER_FRAMING_BYTES
@@ -169,7 +176,7 @@
 
     def on_message_complete(self) -> None:
         """Collect the request unless it exceeds a limit."""
-        self.stage = Stage.between
+        self.stage = BETWEEN
         self.empty_line_bytes = 0
         self.wants_continue = False
         buffer = self.buffer
@@ -206,7 +213,7 @@
 
     def _find_violation(self) -> Violation | None:
         limits = self.limits
-        surplus_bytes = PIECE_BYTES if self.stage is Stage.head else 0
+        surplus_bytes = PIECE_BYTES if self.stage is HEAD else 0
         if self.head_bytes > limits.max_header_bytes + surplus_bytes:
             return _LONG_HEAD
         if not self.buffer.body_bytes and not self.buffer.received_bytes:
@@ -222,6 +229,6 @@
         """Let the request behave as the last one of its connection."""
         self.is_finished = True
         if self.violation is None and self.complete:
-            self.complete[-1] = self.complete[-1]._replace(keep_alive=False)
+            self.complete[-1].keep_alive = False
             return None
         return self.violation or _MALFORMED
