Free the descriptor at once when connections reach their limit

Cause: a connection that is closed for its descriptor while it sends a request was refused and read for another second, so that connections could exceed their limit by those.

Change: such a connection is aborted; its request has not run.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -169,7 +169,8 @@
     def cut_off(self, cause: Cause) -> None:
         """Refuse the unfinished request as not run, or disconnect."""
         self.server.count(cause, self.reservation.size)
-        is_refusable = not (
+        # A refused connection lingers with its descriptor.
+        is_refusable = cause is not Cause.connection_limit and not (
             self.is_busy() or self.unsent_bytes or self.is_ending
         )
         if is_refusable and self.is_reading_request():
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -231,6 +231,22 @@
             self.assertIn(b' 200 ', await reader.readline())
         self.assertIn(b'/1', self.targets)
 
+    # Guards against refused connections that keep their descriptors.
+    async def test_connections_never_exceed_their_limit(self) -> None:
+        for _ in range(3):
+            for _ in range(4):
+                await self.connect(b'GET / HTTP/1.1\r\n')
+            await self.until(
+                lambda: any(
+                    each.is_reading_request()
+                    for each in self.server.connections
+                )
+            )
+            for connection in self.server.connections:
+                connection.progress_at -= 10
+        await asyncio.sleep(0.1)
+        self.assertLessEqual(len(self.server.connections), 4)
+
     def test_descriptors_are_left_for_other_purposes(self) -> None:
         for count in (300, 4_100, 8_192):
             limits = connection_limits_for(count)
