--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -19,7 +19,13 @@
     PendingRequest,
     Pipeline,
 )
-from jasmineramp.mesh.caller_reader import PIECE_BYTES, RequestReader, Stage
+from jasmineramp.mesh.caller_reader import (
+    BETWEEN,
+    BODY,
+    HEAD,
+    PIECE_BYTES,
+    RequestReader,
+)
 from jasmineramp.mesh.caller_tasks import RequestTasks
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.receive_limits import KIBIBYTE
@@ -69,7 +75,7 @@
     @property
     def is_reading_body(self) -> bool:
         """Tell whether the body of a request has been received in part."""
-        return self.reader.stage is Stage.body
+        return self.reader.stage is BODY
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -93,10 +99,15 @@
         if self.is_ending:
             return
         self.received_at = self.loop.time()
-        if self.reader.stage is Stage.body and not self.unsent_bytes:
+        if self.reader.stage is BODY and not self.unsent_bytes:
             self.timeout_started = self.received_at
         self.moved_bytes += len(data)
-        self.unparsed = self.unparsed + data if self.unparsed else data
+        if self.unparsed:
+            self.unparsed += data
+        elif len(data) <= PIECE_BYTES and not self._is_full():
+            self._feed(data, self.server.limits())
+        else:
+            self.unparsed = data
         self._proceed()
 
     def resume_writing(self) -> None:
@@ -117,7 +128,7 @@
 
     def is_reading_request(self) -> bool:
         """Return whether a request has been received only in part."""
-        return self.reader.stage is not Stage.between
+        return self.reader.stage is not BETWEEN
 
     def is_new(self) -> bool:
         """Return whether the first request may still be on its way."""
@@ -142,7 +153,8 @@
     def cut_off(self, cause: Cause) -> None:
         """Refuse the unfinished request as not run, or disconnect."""
         self.server.count(cause, self.reservation.size)
-        is_refusable = not (
+        # A refused connection lingers with its descriptor.
+        is_refusable = cause is not Cause.connection_limit and not (
             self.is_busy() or self.unsent_bytes or self.is_ending
         )
         if is_refusable and self.is_reading_request():
@@ -178,7 +190,7 @@
             + self.pipeline.memory_bytes()
             + self.unsent_bytes
         )
-        if self.reader.stage is not Stage.between:
+        if self.reader.stage is not BETWEEN:
             held_bytes += self.reader.memory_bytes()
         reservation = self.reservation
         if held_bytes == reservation.size:
@@ -196,7 +208,7 @@
             return limits.idle_timeout_ms, Cause.slow_reader
         if self.is_ending:
             return LINGER_MS, None
-        if self.reader.stage is Stage.head:
+        if self.reader.stage is HEAD:
             return limits.header_timeout_ms, Cause.header_timeout
         cause = Cause.body_timeout if self.is_reading_body else None
         return limits.idle_timeout_ms, cause
@@ -220,10 +232,6 @@
         data = self.unparsed
         size = len(data)
         limits = self.server.limits()
-        if size <= PIECE_BYTES and not self._is_full():
-            self.unparsed = b''
-            self._feed(data, limits)
-            return
         position = 0
         while position < size and not self._is_full():
             piece = memoryview(data)[position : position + PIECE_BYTES]
@@ -265,13 +273,12 @@
 
     def _is_full(self) -> bool:
         """Return whether nothing more may be read ahead now."""
-        if self.reader.is_finished:
-            return True
         pipeline = self.pipeline
         if not pipeline.pending and not self.is_write_paused:
-            return False
+            return self.reader.is_finished
         return (
-            pipeline.waiting_count >= MAX_PIPELINED_REQUESTS
+            self.reader.is_finished
+            or pipeline.waiting_count >= MAX_PIPELINED_REQUESTS
             or pipeline.waiting_bytes + self.reader.memory_bytes()
             >= READ_AHEAD_BYTES
         )
@@ -369,7 +376,9 @@
         """Close after what has been written."""
         self.timeout_started = self.loop.time()
         self._drop_unparsed()
-        if not lingers:
+        if lingers:
+            self.transport.write_eof()
+        else:
             self.transport.close()
 
     def _drop_unparsed(self) -> None:
