--- a/src/jasmineramp/mesh/caller_pipeline.py
+++ b/src/jasmineramp/mesh/caller_pipeline.py
@@ -26,11 +26,21 @@
     The request is None for one that was rejected while it was read.
     """
 
-    __slots__ = ('closes', 'is_idempotent', 'is_started', 'request', 'response')
+    __slots__ = (
+        'closes',
+        'is_idempotent',
+        'is_started',
+        'memory_bytes',
+        'request',
+        'response',
+    )
 
-    def __init__(self, request: RequestT | None, *, closes: bool) -> None:
+    def __init__(
+        self, request: RequestT | None, *, closes: bool, memory_bytes: int = 0
+    ) -> None:
         self.request = request
         self.closes = closes
+        self.memory_bytes = memory_bytes
         self.is_started = False
         self.is_idempotent: bool | None = None
         self.response: ResponseT | None = None
@@ -50,28 +60,52 @@
         is_idempotent: Callable[[RequestT], bool],
         size_of: Callable[[ResponseT], int],
         counts: Counter[str] | None = None,
+        *,
+        max_waiting: int = MAX_PIPELINED_REQUESTS,
     ) -> None:
         self.is_idempotent = is_idempotent
         self.size_of = size_of
+        self.max_waiting = max_waiting
         # Shared by all connections, for the metrics.
         self.counts: Counter[str] = Counter() if counts is None else counts
         self.pending: deque[PendingRequest[RequestT, ResponseT]] = deque()
         # Whether what the caller sends from now on counts as not read.
         self.is_complete = False
+        # Requests that have not been started, and the memory they take.
+        self.waiting_count = 0
+        self.waiting_bytes = 0
+        # Of the started requests, until their responses are written.
+        self.started_bytes = 0
+        # Of the responses that wait for earlier ones.
         self.held_bytes = 0
 
-    def add(self, request: RequestT, *, closes: bool) -> bool:
+    def add(
+        self, request: RequestT, *, closes: bool, memory_bytes: int = 0
+    ) -> bool:
         """Add a request; return False if it counts as not read."""
-        waiting = sum(not each.is_started for each in self.pending)
-        if waiting >= MAX_PIPELINED_REQUESTS:
+        if self.waiting_count >= self.max_waiting:
             self.is_complete = True
         if self.is_complete:
             self.counts['not_read'] += 1
             return False
-        self.pending.append(PendingRequest(request, closes=closes))
+        self.pending.append(
+            PendingRequest(request, closes=closes, memory_bytes=memory_bytes)
+        )
+        self.waiting_count += 1
+        self.waiting_bytes += memory_bytes
         self.is_complete = closes
         return True
 
+    def withdraw_last(self) -> bool:
+        """Remove the last request; return False if it has been started."""
+        if not self.waiting_count or self.pending[-1].request is None:
+            return False
+        withdrawn = self.pending.pop()
+        self.waiting_count -= 1
+        self.waiting_bytes -= withdrawn.memory_bytes
+        self.is_complete = False
+        return True
+
     def reject(self, response: ResponseT) -> None:
         """Answer an unusable request, after those before it; then close."""
         rejected: PendingRequest[RequestT, ResponseT] = PendingRequest(
@@ -93,6 +127,9 @@
                 ):
                     break
                 each.is_started = True
+                self.waiting_count -= 1
+                self.waiting_bytes -= each.memory_bytes
+                self.started_bytes += each.memory_bytes
                 self.counts['beside'] += position > 0
                 startable.append(each)
             # A request that is alone on its connection needs no look-up.
@@ -122,10 +159,16 @@
             response = self.pending[0].response
             if response is None:
                 break
+            pending = self.pending.popleft()
             self.held_bytes -= self.size_of(response)
-            writable.append((self.pending.popleft(), response))
+            self.started_bytes -= pending.memory_bytes
+            writable.append((pending, response))
         return writable
 
+    def memory_bytes(self) -> int:
+        """Return the memory of all requests and of the held responses."""
+        return self.waiting_bytes + self.started_bytes + self.held_bytes
+
     def is_finished(self) -> bool:
         """Return whether the connection closes after what was taken."""
         return self.is_complete and not self.pending
@@ -134,6 +177,8 @@
         """Forget all requests of a connection that has ended."""
         self.is_complete = True
         self.pending.clear()
+        self.waiting_count = self.waiting_bytes = 0
+        self.started_bytes = self.held_bytes = 0
 
     def _may_start_behind(
         self, position: int, pending: PendingRequest[RequestT, ResponseT]
@@ -162,3 +207,4 @@
                 self.counts['not_read'] += 1
             else:
                 self.held_bytes -= self.size_of(dropped.response)
+        self.waiting_count = self.waiting_bytes = 0
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -60,6 +60,9 @@
     use_totals: Mapping[ServiceName, UseTotals] = {}
     left_domain: Mapping[ServiceName, int] = {}
     cold_ms: float = 0
+    caller_connections: int = 0
+    message_bytes: int = 0
+    message_bytes_limit: int = 0
 
 
 class NodeMetrics:
@@ -73,6 +76,7 @@
         self.pipelined: Counter[str] = Counter()
         self.domain_refusals: Counter[str] = Counter()
         self.cold_refusals = 0
+        self.cut_callers: Counter[str] = Counter()
         self.rows: set[RowName] = set()
         self.call_time = Histogram()
         self.upstream_time = Histogram()
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -7,7 +7,7 @@
 from jasmineramp.clock import Clock, Millis, later, read_unix_ms
 from jasmineramp.ids import ServiceName
 from jasmineramp.membership_messages import UpstreamState
-from jasmineramp.mesh.caller_http import CallerResponse
+from jasmineramp.mesh.caller_messages import CallerResponse
 from jasmineramp.mesh.calls import CallerRequest
 from jasmineramp.mesh.cold_limit import ColdRule, is_fresh
 from jasmineramp.mesh.decision_log import DecisionLog
