Split outcomes, ejection and restrictions from routing

routing.py had grown to 472 lines and mixed four topics. The recording of outcomes and load reports is now in routing_outcomes.py, the ejection of failing instances in outlier_ejection.py, and the state of evacuated and cold instances in routing_restrictions.py. Users import the names from the new modules; the tests change only these references.

--- a/bench/routing_choice.py
+++ b/bench/routing_choice.py
@@ -11,11 +11,12 @@
 import time
 from collections import deque
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_outcomes
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId, ServiceName
+from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
-from jasmineramp.routing import CallOutcome, LoadReport
+from jasmineramp.routing_outcomes import CallOutcome
 
 SERVICE = ServiceName('orders')
 DOMAIN = DomainId('a')
@@ -64,7 +65,7 @@
         chosen = routing.choose(state, SERVICE, NOBODY, WARM)
         running.append(chosen.node)
         if len(running) > 20:
-            routing.record_outcome(
+            routing_outcomes.record_outcome(
                 state,
                 running.popleft(),
                 CallOutcome.succeeded,
@@ -140,7 +141,7 @@
         self.running[target] -= 1
         self.service_ms[target] += 0.05 * (took - self.service_ms[target])
         self.latencies.append(now - started)
-        routing.record_outcome(
+        routing_outcomes.record_outcome(
             state,
             NodeId(f'node-{target}'),
             CallOutcome.succeeded,
--- a/src/jasmineramp/call_attempts.py
+++ b/src/jasmineramp/call_attempts.py
@@ -1,6 +1,6 @@
 """End attempts of calls and retry them within the limit of the ledger."""
 
-from jasmineramp import hops, idempotency, retries, routing
+from jasmineramp import hops, idempotency, retries, routing, routing_outcomes
 from jasmineramp.call_endings import close, finish_claim, refuse
 from jasmineramp.call_messages import (
     Attempt,
@@ -22,10 +22,10 @@
 from jasmineramp.state import EntryCall, NodeState
 
 _OUTCOMES = {
-    AttemptKind.answered: routing.CallOutcome.succeeded,
-    AttemptKind.shed: routing.CallOutcome.shed,
-    AttemptKind.refused: routing.CallOutcome.shed,
-    AttemptKind.cancelled: routing.CallOutcome.cancelled,
+    AttemptKind.answered: routing_outcomes.CallOutcome.succeeded,
+    AttemptKind.shed: routing_outcomes.CallOutcome.shed,
+    AttemptKind.refused: routing_outcomes.CallOutcome.shed,
+    AttemptKind.cancelled: routing_outcomes.CallOutcome.cancelled,
 }
 _ABORTED_KINDS = frozenset(
     (AttemptKind.cancelled, AttemptKind.timed_out, AttemptKind.lost),
@@ -157,10 +157,10 @@
     if instance is None:
         return
     call.instance = None
-    routing.record_outcome(
+    routing_outcomes.record_outcome(
         state.routing,
         instance.node,
-        _OUTCOMES.get(attempt.kind, routing.CallOutcome.failed),
+        _OUTCOMES.get(attempt.kind, routing_outcomes.CallOutcome.failed),
         now,
         load=attempt.load,
         incarnation=instance.incarnation,
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_restrictions
 from jasmineramp.admission import SHED_LEVEL_LIFETIME_MS
 from jasmineramp.clock import Clock, later
 from jasmineramp.fast_instances import Objective
@@ -269,7 +269,7 @@
             observation.outcome = outcome_of(outcome.result)
         if outcome.is_evacuated:
             # This node may not have learned it yet.
-            admitted.excluded |= routing.nodes_in_domain(
+            admitted.excluded |= routing_restrictions.nodes_in_domain(
                 self.routes, admitted.service, instance.domain
             )
         if believed_use is not None:
--- a/src/jasmineramp/mesh/evacuation_control.py
+++ b/src/jasmineramp/mesh/evacuation_control.py
@@ -1,6 +1,6 @@
 """Apply the evacuations of failure domains to the gate and the routes."""
 
-from jasmineramp import routing
+from jasmineramp import routing_restrictions
 from jasmineramp.clock import Clock
 from jasmineramp.ids import DomainId, Revision
 from jasmineramp.mesh.decision_log import DecisionLog
@@ -88,7 +88,9 @@
             evacuated = self.evacuations.evacuated()
         self.gate.set_domain_state(state)
         if evacuated != self.routes.evacuated:
-            routing.set_evacuated(self.routes, evacuated, self.clock.now())
+            routing_restrictions.set_evacuated(
+                self.routes, evacuated, self.clock.now()
+            )
             self._log_change(evacuated)
 
     def _log_change(self, evacuated: frozenset[DomainId]) -> None:
--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_restrictions
 from jasmineramp.clock import Clock, Millis
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.decision_log import DecisionLog
@@ -162,7 +162,7 @@
         routing.put_instance(
             self.routes, changed.to_instance(), self.clock.now()
         )
-        routing.record_cold(
+        routing_restrictions.record_cold(
             self.routes,
             frame.node,
             frame.cold_per_s,
--- a/src/jasmineramp/mesh/observation.py
+++ b/src/jasmineramp/mesh/observation.py
@@ -1,12 +1,13 @@
 """Report the outcomes of calls to routing."""
 
-from jasmineramp import routing
+from jasmineramp import routing_outcomes
 from jasmineramp.clock import Clock
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
 from jasmineramp.mesh.calls import Answer, CallResult
 from jasmineramp.refusals import RefusalCode, RunState
-from jasmineramp.routing import CallOutcome, RoutingState
+from jasmineramp.routing import RoutingState
+from jasmineramp.routing_outcomes import CallOutcome
 
 
 class Observation:
@@ -25,7 +26,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        routing.record_outcome(
+        routing_outcomes.record_outcome(
             self.routes,
             self.instance.node,
             self.outcome,
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_restrictions
 from jasmineramp.clock import Clock, Millis, later, read_unix_ms
 from jasmineramp.ids import ServiceName
 from jasmineramp.membership_messages import UpstreamState
@@ -157,7 +157,7 @@
         self.gate.hold_back()
         if self.gate.accepts_calls():
             self.notify_peers(self.record.state)
-        routing.record_cold(
+        routing_restrictions.record_cold(
             self.routes,
             self.settings.node,
             per_s if is_cold else 0,
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -1,18 +1,16 @@
 """Choose the instance of a service that runs a call."""
 
-import enum
 import random
 from collections.abc import Iterable
 
-from jasmineramp.clock import MILLIS_PER_SECOND, Millis
+from jasmineramp.clock import Millis
 from jasmineramp.fast_instances import Objective, choose_fast
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
 from jasmineramp.load_estimates import EstimateMetrics, GroupUse
-from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance
+from jasmineramp.outlier_ejection import end_excess_ejections
 from jasmineramp.routing_choice import least_loaded, select
 from jasmineramp.routing_targets import (
-    MAX_COLD_INTERVAL_MS,
     SLOW_START_MS,
     Pool,
     Service,
@@ -24,30 +22,7 @@
 # A node that has just started discovers every instance for the first time, so
 # instances that it discovers in this time do not count as cold.
 INITIAL_DISCOVERY_MS = 5_000
-REPORT_LIFETIME_MS = 1_000
 PROBE_RATIO = 0.02
-MIN_CAPACITY_CHANGE_RATIO = 0.1
-REBUILD_DELAY_MS = 500
-
-# Four consecutive failures of an instance without earlier ones exceed the
-# ejection failure rate.
-FAILURE_SMOOTHING = 0.2
-EJECTION_FAILURE_RATE = 0.5
-# Failures that all instances share are no reason to eject one of them, so an
-# instance must also exceed this multiple of the failure rate of the service.
-EJECTION_SERVICE_RATE_FACTOR = 1.5
-BASE_EJECTION_MS = 5_000
-MAX_EJECTION_MS = 60_000
-EJECTION_COUNT_RESET_MS = 120_000
-
-
-class CallOutcome(enum.Enum):
-    """Outcome of a call to an instance."""
-
-    succeeded = 'succeeded'
-    failed = 'failed'
-    shed = 'shed'
-    cancelled = 'cancelled'
 
 
 class RoutingState:
@@ -141,35 +116,6 @@
         state.targets.pop(node)
 
 
-def set_evacuated(
-    state: RoutingState, domains: frozenset[DomainId], now: Millis
-) -> None:
-    """Exclude the instances of these failure domains and no others.
-
-    Those that come back get calls gradually.
-    """
-    state.evacuated = domains
-    for service in state.services.values():
-        for target in service.targets.values():
-            was_evacuated = target.is_evacuated
-            target.is_evacuated = target.instance.domain in domains
-            if was_evacuated and not target.is_evacuated:
-                target.cold_until = now + SLOW_START_MS
-        service.rebuild_pools_at = 0
-
-
-def nodes_in_domain(
-    state: RoutingState, service_name: ServiceName, domain: DomainId
-) -> frozenset[NodeId]:
-    """Return the nodes of a failure domain with an instance of a service."""
-    service = state.services.get(service_name, Service())
-    return frozenset(
-        node
-        for node, target in service.targets.items()
-        if target.instance.domain == domain
-    )
-
-
 def choose(
     state: RoutingState,
     service_name: ServiceName,
@@ -218,70 +164,6 @@
     return target.instance
 
 
-def record_outcome(
-    state: RoutingState,
-    node: NodeId,
-    outcome: CallOutcome,
-    now: Millis,
-    *,
-    load: LoadReport | None = None,
-    incarnation: int | None = None,
-) -> None:
-    """End a call on an instance and update its failure rate and load.
-
-    The outcome of a call to an earlier incarnation is ignored, since it says
-    nothing about the current one.
-    """
-    target = state.targets.get(node)
-    if target is None:
-        return
-    target.in_flight = max(0, target.in_flight - 1)
-    service = state.services.get(target.instance.upstream.service)
-    if service is None or node not in service.targets:
-        if not target.in_flight:
-            state.targets.pop(node)
-        return
-    if incarnation not in {None, target.instance.incarnation}:
-        return
-    if load is not None:
-        _record_use(state, target, load, outcome, now)
-        _record_report(service, target, load, now)
-        record_cold(state, node, load.cold_per_s, load.cold_ms, now)
-    if outcome is CallOutcome.succeeded:
-        target.failure_rate -= FAILURE_SMOOTHING * target.failure_rate
-        service.failure_rate -= (
-            FAILURE_SMOOTHING * service.failure_rate / len(service.targets)
-        )
-    elif outcome is CallOutcome.failed:
-        _record_failure(service, target, now)
-
-
-def record_cold(
-    state: RoutingState,
-    node: NodeId,
-    per_s: float,
-    cold_ms: float,
-    now: Millis,
-) -> None:
-    """Limit the calls to an instance that is cold; end the limit if not."""
-    target = state.targets.get(node)
-    if target is None or not (per_s or now < target.cold_limit_until):
-        return
-    first_interval_ms = float(0)
-    if per_s:
-        # The nodes of its domain, which call it most, learn it at once and
-        # must not call it at once.
-        domain = target.instance.domain
-        nodes = sum(
-            each.instance.domain == domain for each in state.targets.values()
-        )
-        mean_ms = nodes * MILLIS_PER_SECOND / per_s
-        first_interval_ms = min(
-            MAX_COLD_INTERVAL_MS, mean_ms * state.random.random() * 2
-        )
-    target.limit_cold(per_s, cold_ms, first_interval_ms, now)
-
-
 def has_untried_instance(
     state: RoutingState,
     service_name: ServiceName,
@@ -362,17 +244,14 @@
 ) -> Target | None:
     # An ejected instance is better than none, but a draining one is not.
     # A cold one refuses with the time after which it has room.
-    ready = [each for each in service.targets.values() if each.is_ready()]
-    return least_loaded(ready, exclude, now, is_last_resort=True)
+    return least_loaded(
+        service.ready_targets(), exclude, now, is_last_resort=True
+    )
 
 
 def _rebuild(state: RoutingState, service: Service, now: Millis) -> None:
-    ready = [each for each in service.targets.values() if each.is_ready()]
-    ejected = [each for each in ready if now < each.ejected_until]
-    # After departures, more than half of the instances may be ejected.
-    ejected.sort(key=lambda each: each.ejected_until)
-    while len(ejected) * 2 > len(ready):
-        ejected.pop(0).ejected_until = 0
+    ready = service.ready_targets()
+    ejected = end_excess_ejections(ready, now)
     set_weights(ready)
     by_domain: dict[DomainId, list[Target]] = {}
     for target in ready:
@@ -393,80 +272,3 @@
         (each.ejected_until for each in ejected),
         default=float('inf'),
     )
-
-
-def _record_use(
-    state: RoutingState,
-    target: Target,
-    load: LoadReport,
-    outcome: CallOutcome,
-    now: Millis,
-) -> None:
-    name = target.instance.upstream.service
-    is_estimated = state.services[name].uses_estimates and target.has_report()
-    if is_estimated and load.limit:
-        state.estimate_metrics.record(
-            name,
-            state.services[name].estimate(target, now),
-            load.busy / load.limit,
-        )
-    has_refused = outcome is CallOutcome.shed
-    target.estimate.record(load, now, has_refused=has_refused)
-
-
-def _record_report(
-    service: Service,
-    target: Target,
-    load: LoadReport,
-    now: Millis,
-) -> None:
-    # A wrong report must not keep an instance idle for long or attract every
-    # call, so the queue is bounded by the slots and the report expires soon.
-    target.queued = min(max(load.queued, 0), target.slots)
-    # An instance that is not healthy counts as full.
-    if not load.healthy:
-        target.queued = max(target.queued, 1)
-    change = abs(load.capacity - target.capacity)
-    if now < target.cold_limit_until:
-        target.adapt_cold_interval(is_full=load.queued > 0)
-    if (
-        load.capacity > 0
-        # A cold instance serves its measured capacity again afterwards.
-        and not load.cold_per_s
-        and change > MIN_CAPACITY_CHANGE_RATIO * target.capacity
-    ):
-        target.capacity = load.capacity
-        service.rebuild_pools_at = min(
-            service.rebuild_pools_at, now + REBUILD_DELAY_MS
-        )
-    target.shed_level = load.shed_level
-    target.record_row_time(load.timed_row, load.row_time_ms)
-    target.report_valid_until = now + REPORT_LIFETIME_MS
-
-
-def _record_failure(service: Service, target: Target, now: Millis) -> None:
-    target.failure_rate += FAILURE_SMOOTHING * (1 - target.failure_rate)
-    target.estimate.failed_at = now
-    service.failure_rate += (
-        FAILURE_SMOOTHING * (1 - service.failure_rate) / len(service.targets)
-    )
-    threshold = max(
-        EJECTION_FAILURE_RATE,
-        EJECTION_SERVICE_RATE_FACTOR * service.failure_rate,
-    )
-    if target.failure_rate <= threshold or now < target.ejected_until:
-        return
-    ready = [each for each in service.targets.values() if each.is_ready()]
-    ejected = [each for each in ready if now < each.ejected_until]
-    if (len(ejected) + 1) * 2 > len(ready):
-        return
-    if now - target.last_ejection_at > EJECTION_COUNT_RESET_MS:
-        target.ejections = 0
-    duration = min(BASE_EJECTION_MS * 2**target.ejections, MAX_EJECTION_MS)
-    target.ejections += 1
-    target.last_ejection_at = now
-    target.ejected_until = now + duration
-    # After an ejection, calls return gradually.
-    target.cold_until = target.ejected_until + SLOW_START_MS
-    target.failure_rate = 0
-    service.rebuild_pools_at = 0
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -279,6 +279,10 @@
         self.uses_estimates = False
         self.group_uses: dict[DomainId, GroupUse] = {}
 
+    def ready_targets(self) -> list[Target]:
+        """Return the instances that accept new calls."""
+        return [each for each in self.targets.values() if each.is_ready()]
+
     def tolerated_failure_rate(self) -> float:
         """Return the rate above which failures correct the estimated use.
 
--- a/tests/fakes/load_model.py
+++ b/tests/fakes/load_model.py
@@ -12,14 +12,14 @@
 
 import msgspec
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_outcomes
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId, ServiceName
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
 from jasmineramp.mesh.instance_gate import LOAD_THRESHOLD_FRACTION
 from jasmineramp.mesh.slot_limit import USABLE_SLOT_FRACTION
-from jasmineramp.routing import CallOutcome
+from jasmineramp.routing_outcomes import CallOutcome
 
 SERVICE = ServiceName('orders')
 SAMPLE_MS = 20
@@ -202,7 +202,7 @@
     ) -> None:
         sender, count, mean_ms, _ = call
         state = self.states[sender]
-        routing.record_outcome(
+        routing_outcomes.record_outcome(
             state, server.node, outcome, self.now, load=report
         )
         if count > 1:
--- a/tests/mesh/test_cold_limit.py
+++ b/tests/mesh/test_cold_limit.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jasmineramp import admission, routing
+from jasmineramp import admission, routing, routing_outcomes
 from jasmineramp.admission import AdmissionState, Decision, Refuse, Start
 from jasmineramp.clock import ManualClock, Millis
 from jasmineramp.fair_queue import QueuedCall
@@ -241,15 +241,17 @@
         for each in decisions:
             if isinstance(each, Refuse):
                 name = str(each.call.call_id)
-                sender, node, tried = self.end(name, routing.CallOutcome.shed)
+                sender, node, tried = self.end(
+                    name, routing_outcomes.CallOutcome.shed
+                )
                 self.send(name, sender, tried | {node})
 
     def end(
-        self, name: str, outcome: routing.CallOutcome
+        self, name: str, outcome: routing_outcomes.CallOutcome
     ) -> tuple[int, NodeId, frozenset[NodeId]]:
         """End a call and report the load of its instance to its sender."""
         sender, node, tried = self.open.pop(name)
-        routing.record_outcome(
+        routing_outcomes.record_outcome(
             self.senders[sender],
             node,
             outcome,
@@ -266,7 +268,7 @@
                 running = set(gate.state.running)
                 self.apply(gate, gate.tick())
                 for done in running - set(gate.state.running):
-                    self.end(str(done), routing.CallOutcome.succeeded)
+                    self.end(str(done), routing_outcomes.CallOutcome.succeeded)
             for sender in range(10):
                 if self.random.random() < 60 * STEP_MS / 1000:
                     self.sent += 1
--- a/tests/test_fast_instances.py
+++ b/tests/test_fast_instances.py
@@ -6,13 +6,13 @@
 
 from msgspec.structs import replace
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_outcomes
 from jasmineramp.clock import Millis
 from jasmineramp.fast_instances import Objective
 from jasmineramp.ids import DomainId, NodeId, RowName, ServiceName
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
-from jasmineramp.routing import CallOutcome
+from jasmineramp.routing_outcomes import CallOutcome
 
 SERVICE = ServiceName('registry')
 ROW = RowName('assign')
@@ -44,7 +44,7 @@
     """Apply a report of an instance that is hardly used."""
     time_ms = MEAN_MS / SPEEDS[number]
     load = LoadReport(0, 100, timed_row=ROW, row_time_ms=time_ms)
-    routing.record_outcome(
+    routing_outcomes.record_outcome(
         state,
         NodeId(f'n{number}'),
         CallOutcome.succeeded,
@@ -68,7 +68,9 @@
             **options,
         )
         speeds[SPEEDS[int(chosen.node[1:])]] += 1
-        routing.record_outcome(state, chosen.node, CallOutcome.cancelled, NOW)
+        routing_outcomes.record_outcome(
+            state, chosen.node, CallOutcome.cancelled, NOW
+        )
     return speeds
 
 
@@ -130,7 +132,7 @@
         state = make_state()
         for number in (3, 7):
             for _ in range(2):
-                routing.record_outcome(
+                routing_outcomes.record_outcome(
                     state, NodeId(f'n{number}'), CallOutcome.failed, NOW
                 )
         self.assertGreater(count_speeds(state, OBJECTIVE_MS)[1], 0.85 * CALLS)
--- a/tests/test_load_estimates.py
+++ b/tests/test_load_estimates.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from jasmineramp import routing
+from jasmineramp import routing, routing_outcomes
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.load_estimates import LoadEstimate, UseTotals
@@ -17,7 +17,7 @@
 from jasmineramp.mesh.node_metrics import Gauges, NodeMetrics
 from jasmineramp.mesh.observation import outcome_of
 from jasmineramp.refusals import RefusalCode, RunState
-from jasmineramp.routing import CallOutcome
+from jasmineramp.routing_outcomes import CallOutcome
 from tests.fakes.load_model import (
     SERVICE,
     Load,
@@ -63,7 +63,9 @@
     load: LoadReport,
     outcome: CallOutcome = CallOutcome.succeeded,
 ) -> None:
-    routing.record_outcome(state, NodeId(node), outcome, NOW, load=load)
+    routing_outcomes.record_outcome(
+        state, NodeId(node), outcome, NOW, load=load
+    )
 
 
 def choose(state: routing.RoutingState, now: Millis = NOW) -> str:
@@ -81,7 +83,9 @@
                 CallOutcome.failed if step % 8 == 7 else (CallOutcome.succeeded)
             )
             now = Millis(NOW + 9 * step)
-            routing.record_outcome(state, NodeId(node), outcome, now, load=load)
+            routing_outcomes.record_outcome(
+                state, NodeId(node), outcome, now, load=load
+            )
     return chosen
 
 
@@ -176,7 +180,7 @@
             now = Millis(NOW + 20 * step)
             chosen += choose(state, now)
             if chosen[-1] == '2':
-                routing.record_outcome(
+                routing_outcomes.record_outcome(
                     state, NodeId('2'), CallOutcome.succeeded, now, load=busy
                 )
         self.assertLess(chosen.count('0'), 30)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,11 +7,12 @@
 from hypothesis import given, strategies
 from msgspec.structs import replace
 
-from jasmineramp import routing
+from jasmineramp import outlier_ejection, routing, routing_outcomes
 from jasmineramp.clock import Millis
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
+from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream, UpstreamState
-from jasmineramp.routing import CallOutcome, LoadReport
+from jasmineramp.routing_outcomes import CallOutcome
 from jasmineramp.routing_targets import SLOW_START_MS
 
 SERVICE = ServiceName('orders')
@@ -47,7 +48,9 @@
     state: routing.RoutingState, name: str, times: int, now: Millis = WARM
 ) -> None:
     for _ in range(times):
-        routing.record_outcome(state, NodeId(name), CallOutcome.failed, now)
+        routing_outcomes.record_outcome(
+            state, NodeId(name), CallOutcome.failed, now
+        )
 
 
 def count_choices(
@@ -58,7 +61,9 @@
     for _ in range(calls):
         name = pick(state, now)
         chosen[name] += 1
-        routing.record_outcome(state, NodeId(name), CallOutcome.succeeded, now)
+        routing_outcomes.record_outcome(
+            state, NodeId(name), CallOutcome.succeeded, now
+        )
     return chosen
 
 
@@ -88,14 +93,14 @@
             for name, each in (('local', capacity), ('remote', 100.0)):
                 routing.choose(state, SERVICE, NO_NODES, WARM)
                 report = LoadReport(0, each)
-                routing.record_outcome(
+                routing_outcomes.record_outcome(
                     state,
                     NodeId(name),
                     CallOutcome.succeeded,
                     WARM,
                     load=report,
                 )
-            later = Millis(WARM + routing.REBUILD_DELAY_MS)
+            later = Millis(WARM + routing_outcomes.REBUILD_DELAY_MS)
             for target in state.targets.values():
                 target.in_flight = 0
             chosen = Counter(pick(state, later) for _ in range(8))
@@ -155,7 +160,7 @@
         state = make_state(make_instance('a'), make_instance('b'))
         for name, queued in (('a', 10**9), ('b', 1)):
             pick(state, exclude=frozenset({NodeId('ab'.replace(name, ''))}))
-            routing.record_outcome(
+            routing_outcomes.record_outcome(
                 state,
                 NodeId(name),
                 CallOutcome.succeeded,
@@ -164,7 +169,7 @@
             )
         chosen = Counter(pick(state) for _ in range(19))
         self.assertTrue(chosen['a'] > 3, chosen)
-        later = Millis(WARM + routing.REPORT_LIFETIME_MS)
+        later = Millis(WARM + routing_outcomes.REPORT_LIFETIME_MS)
         state.targets[NodeId('a')].in_flight = 0
         state.targets[NodeId('b')].in_flight = 1
         self.assertEqual(pick(state, later), 'a')
@@ -173,7 +178,7 @@
         for capacity, lowest, highest in ((400, 120, 280), (10**9, 60, 180)):
             state = make_state(make_instance('a'), make_instance('b'))
             for name, reported in (('a', 100), ('b', capacity)):
-                routing.record_outcome(
+                routing_outcomes.record_outcome(
                     state,
                     NodeId(name),
                     CallOutcome.succeeded,
@@ -203,7 +208,7 @@
             self.assertFalse(
                 routing.all_shed(state, SERVICE, Importance(2), WARM)
             )
-            routing.record_outcome(
+            routing_outcomes.record_outcome(
                 state,
                 NodeId(name),
                 CallOutcome.shed,
@@ -234,7 +239,7 @@
         count_choices(state, 10, WARM)
         fail(state, 'a', 4)
         self.assertEqual(set(count_choices(state, 50, WARM)), {'b'})
-        later = Millis(WARM + routing.BASE_EJECTION_MS + SLOW_START_MS)
+        later = Millis(WARM + outlier_ejection.BASE_EJECTION_MS + SLOW_START_MS)
         self.assertEqual(set(count_choices(state, 50, later)), {'a', 'b'})
 
     def test_failure_of_all_instances_ejects_none(self) -> None:
@@ -247,7 +252,7 @@
     def test_failures_of_an_earlier_incarnation_are_ignored(self) -> None:
         state = make_state(make_instance('a'), make_instance('b'))
         for _ in range(10):
-            routing.record_outcome(
+            routing_outcomes.record_outcome(
                 state, NodeId('a'), CallOutcome.failed, WARM, incarnation=0
             )
         self.assertEqual(set(count_choices(state, 50, WARM)), {'a', 'b'})
@@ -256,7 +261,9 @@
         for name in names:
             for _ in range(100):
                 node = NodeId('d')
-                routing.record_outcome(state, node, CallOutcome.succeeded, WARM)
+                routing_outcomes.record_outcome(
+                    state, node, CallOutcome.succeeded, WARM
+                )
             fail(state, name, 8)
 
     def test_at_most_half_are_ejected_when_a_majority_fails(self) -> None:
@@ -292,7 +299,9 @@
             if action == 'fail':
                 fail(state, name, 6, now)
             elif action == 'succeed':
-                routing.record_outcome(state, node, CallOutcome.succeeded, now)
+                routing_outcomes.record_outcome(
+                    state, node, CallOutcome.succeeded, now
+                )
             elif action == 'leave':
                 routing.remove_instance(state, node)
             else:
@@ -304,7 +313,7 @@
             if chosen is None:
                 self.assertEqual(targets, [])
                 continue
-            routing.record_outcome(
+            routing_outcomes.record_outcome(
                 state, NodeId(chosen), CallOutcome.cancelled, now
             )
             self.assertNotIn(chosen, {each.node for each in ejected})
