Split shed levels and start pacing from admission

The shed levels that an entry node observes are now in shed_levels.py and the base of start pacing, which the cold limit implements, in start_pacing.py. Users import them from there.

--- a/bench/admission_policy.py
+++ b/bench/admission_policy.py
@@ -28,11 +28,11 @@
     AdmissionState,
     QueuedCall,
     Refuse,
-    ShedLevels,
     Start,
 )
 from jasmineramp.limits import CallOutcome, Limiter
 from jasmineramp.refusals import RefusalCode
+from jasmineramp.shed_levels import ShedLevels
 
 SIZES = {
     'casedesk': (150, 1000),
--- a/src/jasmineramp/admission.py
+++ b/src/jasmineramp/admission.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from jasmineramp.clock import MILLIS_PER_SECOND, ORIGIN, Millis, later
+from jasmineramp.clock import MILLIS_PER_SECOND, ORIGIN, Millis
 from jasmineramp.fair_queue import FairQueue, QueuedCall, QueueEntry
-from jasmineramp.ids import CallId, Importance, NodeId, ServiceName
+from jasmineramp.ids import CallId, Importance
 from jasmineramp.limits import (
     CallOutcome,
     LatencySample,
@@ -14,6 +14,7 @@
     ServiceTimes,
 )
 from jasmineramp.refusals import RefusalCode
+from jasmineramp.start_pacing import StartPacing
 from jasmineramp.table import LEAST_IMPORTANCE
 
 MAX_QUEUE_WAIT_MS = 200
@@ -21,9 +22,6 @@
 # At 3 times the demand, a queue filled to this ratio evicts calls within
 # milliseconds.
 SHED_FILL_RATIO = 0.75
-SHED_LEVEL_LIFETIME_MS = 1000
-# One of this many calls below the shed level passes as a probe.
-CALLS_PER_PROBE = 50
 
 
 class Decision(msgspec.Struct, frozen=True, gc=False):
@@ -56,31 +54,6 @@
     retry_after: float | None = None
 
 
-class StartPacing:
-    """Decide when calls may start, besides the concurrency limit.
-
-    This one never delays a call. `interval_ms` is the time between two starts,
-    0 without a limit.
-    """
-
-    interval_ms: float = 0
-
-    def cell(self) -> tuple[str, str, float]:
-        """Return row, column and value of the table cell that limits."""
-        return '', '', 0
-
-    def may_start(self, now: Millis) -> bool:
-        """Return whether a call may start now."""
-        return True
-
-    def wait_ms(self, now: Millis) -> float:
-        """Return the time until a call may start."""
-        return 0
-
-    def started(self, now: Millis) -> None:
-        """Count a call that has started."""
-
-
 class AdmissionState:
     """Hold the running and queued calls of one instance."""
 
@@ -279,73 +252,6 @@
     return state.queue.min_importance()
 
 
-class _InstanceLevel(msgspec.Struct, frozen=True, gc=False):
-    """Hold the shed level of one instance until it expires."""
-
-    level: Importance
-    valid_until: Millis
-
-
-class ShedLevels:
-    """Refuse calls at the entry node by the shed levels of the instances."""
-
-    def __init__(self) -> None:
-        self.levels_by_service: dict[
-            ServiceName, dict[NodeId, _InstanceLevel]
-        ] = {}
-        self.calls_since_probe: dict[ServiceName, int] = {}
-
-    def observe(
-        self,
-        service: ServiceName,
-        node: NodeId,
-        level: Importance,
-        now: Millis,
-    ) -> None:
-        """Record the shed level that a response of an instance carries."""
-        levels = self.levels_by_service.setdefault(service, {})
-        levels[node] = _InstanceLevel(level, later(now, SHED_LEVEL_LIFETIME_MS))
-
-    def level(self, service: ServiceName, now: Millis) -> Importance:
-        """Return the lowest valid level among the instances of a service.
-
-        A call may run on the instance with the lowest level.
-        """
-        levels = self.levels_by_service.get(service)
-        if not levels:
-            return LEAST_IMPORTANCE
-        return min(
-            (
-                entry.level
-                for entry in levels.values()
-                if entry.valid_until > now
-            ),
-            default=LEAST_IMPORTANCE,
-        )
-
-    def refuses(
-        self,
-        service: ServiceName,
-        importance: Importance,
-        now: Millis,
-    ) -> bool:
-        """Return whether to refuse a call; 1 in 50 passes as a probe."""
-        if importance >= self.level(service, now):
-            return False
-        count = self.calls_since_probe.get(service, 0) + 1
-        self.calls_since_probe[service] = count % CALLS_PER_PROBE
-        return count < CALLS_PER_PROBE
-
-    def expire(self, now: Millis) -> None:
-        """Remove expired levels; call every tick."""
-        for service, levels in list(self.levels_by_service.items()):
-            for node, entry in list(levels.items()):
-                if entry.valid_until <= now:
-                    del levels[node]
-            if not levels:
-                del self.levels_by_service[service]
-
-
 def _expected_wait_ms(
     state: AdmissionState,
     entry: QueueEntry,
--- a/src/jasmineramp/mesh/cold_limit.py
+++ b/src/jasmineramp/mesh/cold_limit.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from jasmineramp.admission import StartPacing
 from jasmineramp.clock import MILLIS_PER_SECOND, Millis, later
 from jasmineramp.ids import ServiceName
+from jasmineramp.start_pacing import StartPacing
 
 # The operators' rule counts arrivals in any one second. Calls sent in this
 # additional time may arrive in the same second.
--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from jasmineramp import routing, routing_restrictions
-from jasmineramp.admission import SHED_LEVEL_LIFETIME_MS
 from jasmineramp.clock import Clock, later
 from jasmineramp.fast_instances import Objective
 from jasmineramp.ids import (
@@ -39,6 +38,7 @@
 from jasmineramp.mesh.route_table import RouteRow
 from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import RoutingState
+from jasmineramp.shed_levels import SHED_LEVEL_LIFETIME_MS
 
 MIN_REMAINING_MS = 8
 # Sends of a call to another instance after an instance has refused it.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from jasmineramp import admission
-from jasmineramp.admission import AdmissionState, Refuse, ShedLevels, Start
+from jasmineramp.admission import AdmissionState, Refuse, Start
 from jasmineramp.clock import Millis
 from jasmineramp.fair_queue import QueuedCall
 from jasmineramp.ids import (
@@ -21,6 +21,7 @@
 )
 from jasmineramp.limits import CallOutcome, Limiter
 from jasmineramp.refusals import RefusalCode
+from jasmineramp.shed_levels import ShedLevels
 
 SERVICE = ServiceName('orders')
 OK = CallOutcome.succeeded
