Split the upstream connection from its pool

The exchange of calls on one connection is now in upstream_connection.py, the pool in upstream_pool.py. The connection knows its pool only by the protocol ConnectionOwner, so that the imports point one way.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -34,14 +34,16 @@
 from jasmineramp.mesh.row_time_reports import RowTimeReporter
 from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
 from jasmineramp.mesh.slot_limit import SlotLimiter
-from jasmineramp.mesh.upstream_http import (
+from jasmineramp.mesh.upstream_connection import (
     MAX_IDLE_MS,
-    MAX_IDLE_ONCE_MS,
     BrokenExchangeError,
-    ConnectError,
     OversizedAnswerError,
     StaleConnectionError,
     UpstreamConnection,
+)
+from jasmineramp.mesh.upstream_pool import (
+    MAX_IDLE_ONCE_MS,
+    ConnectError,
     UpstreamPool,
 )
 from jasmineramp.mesh.upstream_state import UpstreamRecord
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -45,7 +45,7 @@
 )
 from jasmineramp.mesh.store import Store
 from jasmineramp.mesh.table_watch import TableWatch
-from jasmineramp.mesh.upstream_http import UpstreamPool
+from jasmineramp.mesh.upstream_pool import UpstreamPool
 from jasmineramp.mesh.upstream_state import UpstreamRecord
 
 TICK_S = 0.1
--- a/src/jasmineramp/mesh/upstream_http.py
+++ b/src/jasmineramp/mesh/upstream_connection.py
@@ -1,9 +1,9 @@
-"""Send calls to the upstream of this VM over pooled HTTP/1.1 connections."""
+"""Exchange calls with the upstream of this VM on one HTTP/1.1 connection."""
 
 import asyncio
 import functools
-from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 import httptools
 
@@ -22,17 +22,11 @@
     Excess,
     MessageBuffer,
     ReceiveBudget,
-    ReceiveLimits,
     Reservation,
 )
 
-CONNECT_TIMEOUT_S = 0.5
-# Idle limit for calls that are not idempotent. An upstream may close an idle
-# connection without notice, and a call sent on it is then lost.
-MAX_IDLE_ONCE_MS = 250.0
 # Shorter than the idle timeout of upstreams.
 MAX_IDLE_MS = 4_000.0
-MAX_IDLE_CONNECTIONS = 256
 # A call is sent again within seconds, while its connection carries fewer.
 MAX_CARRIED_IDS = 64
 _CONTENT_LENGTH = b'content-length'
@@ -42,10 +36,6 @@
 ResponseHeadReader = Callable[[Headers], ResponseHead]
 
 
-class ConnectError(Exception):
-    """Report that no connection could be made; nothing was sent."""
-
-
 class StaleConnectionError(Exception):
     """Report that a reused connection ended before any response byte."""
 
@@ -78,10 +68,24 @@
         self.future = future
 
 
+class ConnectionOwner(Protocol):
+    """Keep the connection between calls, and the limits of its responses."""
+
+    read_head: ResponseHeadReader
+    max_body_bytes: int
+    budget: ReceiveBudget
+
+    def release(self, connection: 'UpstreamConnection') -> None:
+        """Take back a connection whose call has been answered."""
+
+    def discard(self, connection: 'UpstreamConnection') -> None:
+        """Forget a connection that has ended."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """Exchange one call at a time on a connection."""
 
-    def __init__(self, pool: 'UpstreamPool') -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         self.pool = pool
         self.parser = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
@@ -311,100 +315,6 @@
             exchange.future.set_exception(error)
 
 
-class UpstreamPool:
-    """Pool the connections to the upstream at one address."""
-
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        read_head: ResponseHeadReader,
-        limits: ReceiveLimits,
-        budget: ReceiveBudget,
-    ) -> None:
-        self.host = host
-        self.port = port
-        self.read_head = read_head
-        self.max_body_bytes = limits.body_bytes
-        self.budget = budget
-        self.idle: deque[UpstreamConnection] = deque()
-        self.is_closed = False
-        self.opened_count = 0
-
-    async def connect(self) -> UpstreamConnection:
-        """Open a connection; raise ConnectError on failure or timeout."""
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self), self.host, self.port
-                )
-        except (OSError, TimeoutError) as error:
-            raise ConnectError(str(error)) from None
-        self.opened_count += 1
-        return connection
-
-    def take_idle(
-        self, limit_ms: float, request_id: str
-    ) -> UpstreamConnection | None:
-        """Return the most recently used connection idle for at most a limit.
-
-        It has not carried the request id: a repeated response to the earlier
-        call could not be told from the one to this call.
-        """
-        now = asyncio.get_running_loop().time()
-        position = -1
-        while -position <= len(self.idle):
-            connection = self.idle[position]
-            idle_ms = (now - connection.idle_since) * MILLIS_PER_SECOND
-            if idle_ms > min(limit_ms, connection.idle_limit_ms):
-                return None
-            if request_id in connection.carried:
-                position -= 1
-                continue
-            del self.idle[position]
-            if connection.is_open and not connection.transport.is_closing():
-                return connection
-        return None
-
-    def release(self, connection: UpstreamConnection) -> None:
-        """Put a connection back into the pool, or close it if not reusable."""
-        if (
-            not connection.keep_alive
-            or self.is_closed
-            or len(self.idle) >= MAX_IDLE_CONNECTIONS
-        ):
-            connection.keep_alive = False
-            connection.transport.close()
-            return
-        connection.is_reused = True
-        connection.idle_since = asyncio.get_running_loop().time()
-        self.idle.append(connection)
-
-    def discard(self, connection: UpstreamConnection) -> None:
-        """Remove a connection that has ended from the pool."""
-        if connection in self.idle:
-            self.idle.remove(connection)
-
-    def expire(self) -> None:
-        """Close the connections that exceed their idle limit."""
-        now = asyncio.get_running_loop().time()
-        while self.idle:
-            connection = self.idle[0]
-            idle_ms = (now - connection.idle_since) * MILLIS_PER_SECOND
-            if idle_ms <= connection.idle_limit_ms:
-                return
-            self.idle.popleft()
-            connection.keep_alive = False
-            connection.transport.close()
-
-    def close(self) -> None:
-        """Close the idle connections; calls in progress continue."""
-        self.is_closed = True
-        while self.idle:
-            self.idle.pop().transport.close()
-
-
 @functools.lru_cache(maxsize=64)
 def _keep_alive_ms(value: bytes) -> float:
     """Return half the Keep-Alive timeout, as a margin, or the default."""
--- a/tests/mesh/test_endless_answers.py
+++ b/tests/mesh/test_endless_answers.py
@@ -14,12 +14,12 @@
     ReceiveBudget,
     ReceiveLimits,
 )
-from jasmineramp.mesh.upstream_http import (
+from jasmineramp.mesh.upstream_connection import (
     BrokenExchangeError,
     OversizedAnswerError,
     UpstreamConnection,
-    UpstreamPool,
 )
+from jasmineramp.mesh.upstream_pool import UpstreamPool
 from jasmineramp.platform.headers import read_response
 from tests.fakes.endless import (
     BODY_NAMES,
--- a/tests/mesh/test_truncated_answers.py
+++ b/tests/mesh/test_truncated_answers.py
@@ -18,7 +18,8 @@
     ReceiveBudget,
     ReceiveLimits,
 )
-from jasmineramp.mesh.upstream_http import BrokenExchangeError, UpstreamPool
+from jasmineramp.mesh.upstream_connection import BrokenExchangeError
+from jasmineramp.mesh.upstream_pool import UpstreamPool
 from jasmineramp.platform.headers import read_response
 
 HOST = '127.0.0.1'
