Split refusals, load report and sending from the instance gate

The refusals that precede the queue are now in gate_refusals.py, the load report is built by a function in gate_load.py, and UpstreamSender in upstream_sender.py exchanges admitted calls with the upstream, also for the second time. Whether a call may be sent again remains with the gate, which holds the state for it.

--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -15,7 +15,6 @@
 from jasmineramp.mesh.call_results import (
     failure_of,
     outcome_of,
-    result_of_answer,
 )
 from jasmineramp.mesh.calls import (
     CallResult,
@@ -28,6 +27,8 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.evacuations import DomainState
+from jasmineramp.mesh.gate_load import build_load_report
+from jasmineramp.mesh.gate_refusals import charge_repeat, refuse_misrouted
 from jasmineramp.mesh.node_metrics import NodeMetrics
 from jasmineramp.mesh.retry_advice import RetryAdvisor
 from jasmineramp.mesh.retry_budget import RepeatBudget
@@ -35,31 +36,14 @@
 from jasmineramp.mesh.running_calls import RunningCall, RunningCalls
 from jasmineramp.mesh.slot_limit import SlotLimiter
 from jasmineramp.mesh.upstream_connection import (
-    MAX_IDLE_MS,
     BrokenExchangeError,
-    OversizedAnswerError,
     StaleConnectionError,
-    UpstreamConnection,
-)
-from jasmineramp.mesh.upstream_pool import (
-    MAX_IDLE_ONCE_MS,
-    ConnectError,
-    UpstreamPool,
 )
+from jasmineramp.mesh.upstream_pool import ConnectError, UpstreamPool
+from jasmineramp.mesh.upstream_sender import CallWriter, UpstreamSender
 from jasmineramp.mesh.upstream_state import UpstreamRecord
-from jasmineramp.mesh.waits import wait_with_timeout
 from jasmineramp.refusals import RefusalCode, RunState
 
-# Extra wait for a response, because the upstream itself ends a call at its
-# deadline.
-ANSWER_MARGIN_MS = 40
-MIN_REMAINING_MS = 4
-# Running calls above this fraction of the limit are reported as load, so that
-# peers compare the instance with those of other failure domains.
-LOAD_THRESHOLD_FRACTION = 0.75
-
-CallWriter = Callable[[UpstreamCall, float], bytes]
-
 
 class InstanceGate:
     """Hold the admission state and the connection pool of one upstream."""
@@ -78,7 +62,7 @@
     ) -> None:
         self.record = record
         self.pool = pool
-        self.write_call = write_call
+        self.sender = UpstreamSender(pool, write_call, metrics, log, clock)
         self.pressure = pressure
         self.repeat_budget = repeat_budget
         self.running_calls = RunningCalls(pressure.random)
@@ -142,28 +126,14 @@
 
     def load(self) -> LoadReport:
         """Return the load report that peers use for routing."""
-        state = self.admission
-        now = self.clock.now()
-        queued = len(state.queue.entries)
-        limit = int(state.limiter.limit)
-        cold_ms = self.cold.remaining_ms(now)
-        is_cold = self.cold.is_cold(now)
-        is_held_back = is_cold and not self.cold.may_start(now)
-        if is_held_back:
-            # Peers take it for full.
-            queued = max(1, queued)
-        load_threshold = int(state.limiter.limit * LOAD_THRESHOLD_FRACTION)
-        excess_calls = max(0, len(state.running) - load_threshold)
-        return LoadReport(
-            queued + excess_calls,
-            self.cold.rule.per_s if cold_ms else admission.capacity(state),
-            admission.shed_level(state, now),
-            self.accepts_calls() and self.domain_state is DomainState.open,
-            limit if is_held_back else len(state.running) + queued,
-            limit,
-            *self.row_times.next(now),
-            self.cold.rule.per_s if cold_ms else 0,
-            cold_ms,
+        return build_load_report(
+            self.admission,
+            self.cold,
+            self.row_times,
+            self.clock.now(),
+            is_healthy=(
+                self.accepts_calls() and self.domain_state is DomainState.open
+            ),
         )
 
     def accepts_calls(self) -> bool:
@@ -260,34 +230,15 @@
                 RefusalCode.draining,
                 f'failure domain is {self.domain_state.value}',
             )
-        if current.service != call.service:
-            return not_run_failure(
-                RefusalCode.no_upstream, 'upstream is of another service'
-            )
-        if call.instance and call.instance != current.instance:
-            return not_run_failure(
-                RefusalCode.no_upstream, 'upstream is another instance'
-            )
+        misrouted = refuse_misrouted(call, current)
+        if misrouted is not None:
+            return misrouted
         call.instance = current.instance
         if not call.hop and not self.pressure.admits(
             Importance(call.importance)
         ):
             return self.retry_advisor.refuse_for_pressure(call)
-        if not call.is_repeat:
-            self.repeat_budget.count_first()
-        elif not call.is_resent:
-            self.repeat_budget.charge()
-        elif not self.repeat_budget.take(call.importance, call.progress):
-            return Failure(
-                RefusalCode.overloaded,
-                RunState.not_run,
-                'the service takes no more repeats',
-                row=call.row,
-                column='retry_ratio',
-                is_for_all=True,
-                may_have_arrived=True,
-            )
-        return None
+        return charge_repeat(call, self.repeat_budget)
 
     async def _wait_for_start(
         self, call_id: CallId, decisions: list[Decision]
@@ -344,13 +295,13 @@
     async def _send(self, running: RunningCall, deadline: Millis) -> CallResult:
         call = running.call
         try:
-            connection = await self._connection(call)
+            connection = await self.sender.connect(call)
         except ConnectError as error:
             if self.record.mark_lost():
                 self.on_lost()
             return not_run_failure(RefusalCode.upstream_lost, str(error))
         try:
-            return await self._exchange(connection, call, deadline)
+            return await self.sender.exchange(connection, call, deadline)
         except StaleConnectionError as error:
             # The connection may as well have ended after the call has run.
             if not self._may_send_again(call):
@@ -358,7 +309,7 @@
                     RefusalCode.upstream_lost, str(error)
                 )
         except BrokenExchangeError as error:
-            return self._fail_exchange(call, error)
+            return self.sender.fail_exchange(call, error)
         self.cold.started(self.clock.now())
         running.mark_repeat()
         self.metrics.repeats[call.service] += 1
@@ -369,23 +320,12 @@
             cause='connection ended without an answer',
             credit=round(self.repeat_budget.credit, 1),
         )
-        result = await self._send_again(call, deadline)
+        result = await self.sender.send_again(call, deadline)
         if isinstance(result, Failure) and result.run is RunState.not_run:
             # The refusal tells nothing of the first send.
             return run_unknown_failure(result.code, result.detail)
         return result
 
-    async def _send_again(
-        self, call: UpstreamCall, deadline: Millis
-    ) -> CallResult:
-        try:
-            connection = await self.pool.connect()
-            return await self._exchange(connection, call, deadline)
-        except ConnectError as error:
-            return run_unknown_failure(RefusalCode.upstream_lost, str(error))
-        except (StaleConnectionError, BrokenExchangeError) as error:
-            return self._fail_exchange(call, error)
-
     def _may_send_again(self, call: UpstreamCall) -> bool:
         """Return whether the upstream may get a call that it may have run."""
         return (
@@ -396,55 +336,6 @@
             and self.repeat_budget.take(call.importance, call.progress)
         )
 
-    def _fail_exchange(self, call: UpstreamCall, error: Exception) -> Failure:
-        if isinstance(error, OversizedAnswerError):
-            excess = error.excess
-            self.metrics.cut_answers[excess.bound.value] += 1
-            self.log.write(
-                'answer_cut',
-                request=call.request_id,
-                instance=call.instance,
-                bound=excess.bound.value,
-                figure=excess.figure,
-                limit=excess.limit,
-            )
-        return run_unknown_failure(RefusalCode.upstream_lost, str(error))
-
-    async def _connection(self, call: UpstreamCall) -> UpstreamConnection:
-        limit_ms = MAX_IDLE_MS if call.is_idempotent else MAX_IDLE_ONCE_MS
-        connection = self.pool.take_idle(limit_ms, call.request_id)
-        return connection or await self.pool.connect()
-
-    async def _exchange(
-        self,
-        connection: UpstreamConnection,
-        call: UpstreamCall,
-        deadline: Millis,
-    ) -> CallResult:
-        remaining_ms = deadline - self.clock.now()
-        if remaining_ms < MIN_REMAINING_MS:
-            self.pool.release(connection)
-            return not_run_failure(
-                RefusalCode.deadline_exceeded, 'too little time to send'
-            )
-        future = connection.send(
-            self.write_call(call, remaining_ms),
-            call.request_id,
-            head_only=call.method == b'HEAD',
-        )
-        wait_s = (remaining_ms + ANSWER_MARGIN_MS) / MILLIS_PER_SECOND
-        try:
-            answer, head = await wait_with_timeout(wait_s, future)
-        except TimeoutError:
-            connection.close()
-            return run_unknown_failure(
-                RefusalCode.deadline_exceeded, 'no response'
-            )
-        except asyncio.CancelledError:
-            connection.close()
-            raise
-        return result_of_answer(answer, head)
-
 
 def _ignore_lost_upstream() -> None:
     """Ignore the loss of the upstream."""
--- a/tests/fakes/load_model.py
+++ b/tests/fakes/load_model.py
@@ -17,7 +17,7 @@
 from jasmineramp.ids import DomainId, NodeId, ServiceName
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream
-from jasmineramp.mesh.instance_gate import LOAD_THRESHOLD_FRACTION
+from jasmineramp.mesh.gate_load import LOAD_THRESHOLD_FRACTION
 from jasmineramp.mesh.slot_limit import USABLE_SLOT_FRACTION
 from jasmineramp.routing_outcomes import CallOutcome
 
