Check in one place whether an instance is usable

The choice by load and the choice of fast instances each checked the exclusion and the connection limit, and the loop over estimates did so a third time. Target.is_usable is now the only check; the loop calls it only for an instance that would be chosen. The threshold for leaving the domain was also compared twice and is now compared once. GroupUse is named DomainUse, as the design calls it, and the candidates for fast instances are named so.

--- a/src/jasmineramp/fast_instances.py
+++ b/src/jasmineramp/fast_instances.py
@@ -53,49 +53,66 @@
     row = objective.row
     choice = service.fast_choices.get((row, is_large))
     if choice is None or now >= choice.valid_until:
-        roomy = [
+        candidates = [
             target
             for target in service.targets.values()
-            if row in target.row_times and _has_room(target, nodes, now)
+            if row in target.row_times and _is_candidate(target, nodes, now)
         ]
-        targets = _find_fast(roomy, objective, domain, is_large=is_large)
+        targets = _find_fast(candidates, objective, domain, is_large=is_large)
         choice = FastChoice(targets, later(now, REFRESH_MS))
         service.fast_choices[row, is_large] = choice
     if not choice.targets or rng.random() < EXPLORED_SHARE:
         return None
-    usable = [each for each in choice.targets if _is_usable(each, exclude, now)]
+    # An instance may have stopped or been ejected since the choice was made.
+    usable = [
+        each
+        for each in choice.targets
+        if each.is_usable(exclude)
+        and each.is_ready()
+        and now >= each.ejected_until
+    ]
     return rng.choice(usable) if usable else None
 
 
 def _find_fast(
-    targets: list[Target],
+    candidates: list[Target],
     objective: Objective,
     domain: DomainId,
     *,
     is_large: bool,
 ) -> tuple[Target, ...]:
+    """Return the fastest candidates and those that are about as fast.
+
+    There are none if the objective suits even the slowest candidate. Those of
+    other domains are left out for a large body, and unless they gain enough.
+    """
     row, objective_ms = objective
-    slowest_ms = max((each.row_times[row] for each in targets), default=0)
+    slowest_ms = max((each.row_times[row] for each in candidates), default=0)
     if objective_ms >= slowest_ms * SAFE_OBJECTIVE_RATIO:
         return ()
-    local = [each for each in targets if each.instance.domain == domain]
-    best_ms = _best_time(targets, row)
+    local = [each for each in candidates if each.instance.domain == domain]
+    best_ms = _best_time(candidates, row)
     best_local_ms = _best_time(local, row)
     is_local_safe = objective_ms >= best_local_ms * SAFE_OBJECTIVE_RATIO
     is_local_similar = best_local_ms < best_ms * REMOTE_ADVANTAGE_RATIO
     if is_large or is_local_safe or is_local_similar:
-        targets = local
+        candidates = local
         best_ms = best_local_ms
-    limit_ms = best_ms * SIMILAR_TIME_RATIO
-    return tuple(each for each in targets if each.row_times[row] <= limit_ms)
+    max_time_ms = best_ms * SIMILAR_TIME_RATIO
+    return tuple(
+        each for each in candidates if each.row_times[row] <= max_time_ms
+    )
 
 
 def _best_time(targets: list[Target], row: RowName) -> float:
     return min((each.row_times[row] for each in targets), default=float('inf'))
 
 
-def _has_room(target: Target, nodes: int, now: Millis) -> bool:
-    """Return whether the instance can take a call of each node at once."""
+def _is_candidate(target: Target, nodes: int, now: Millis) -> bool:
+    """Return whether the instance can take a call of each node at once.
+
+    It must also be ready, warm and not ejected, and seldom fail.
+    """
     return (
         target.slots >= nodes
         and target.is_ready()
@@ -103,12 +120,3 @@
         and target.failure_rate <= MAX_FAILURE_RATE
         and not target.is_full(now)
     )
-
-
-def _is_usable(target: Target, exclude: frozenset[NodeId], now: Millis) -> bool:
-    return (
-        target.node not in exclude
-        and target.is_ready()
-        and target.in_flight < target.connections
-        and now >= target.ejected_until
-    )
--- a/src/jasmineramp/load_estimates.py
+++ b/src/jasmineramp/load_estimates.py
@@ -17,9 +17,9 @@
 # The use that is assumed of a domain without reports. It is low, so that a
 # domain that has not been heard of for a while is tried again.
 UNKNOWN_USE = 0.5
-GROUP_LIFETIME_MS = 1_000
+DOMAIN_USE_LIFETIME_MS = 1_000
 # Weight of one report in the mean of its domain while reports are frequent.
-GROUP_GAIN = 0.1
+DOMAIN_USE_GAIN = 0.1
 # A report is trusted for about one turnover of the calls that ran when it was
 # made, which is the mean duration of a call.
 UNKNOWN_TURNOVER_MS = 150
@@ -39,14 +39,9 @@
 # exceeds it within 0.5 s at 6 calls a second of 160 ms.
 TOLERATED_SILENCE = 5.0
 USE_PER_SILENCE = 0.2
-# A local instance is left for one of another domain only at or above this
-# use, and only if the use of the other is lower by the margin: bytes between
-# domains are billed.
-LEAVE_DOMAIN_USE = 0.9
-LEAVE_DOMAIN_MARGIN = 0.2
 
 
-class GroupUse:
+class DomainUse:
     """Hold the mean reported use of the instances of one domain."""
 
     __slots__ = ('mean', 'reported_at')
@@ -57,13 +52,13 @@
 
     def use(self, now: Millis) -> float:
         """Return the mean, which nears UNKNOWN_USE without reports."""
-        trust = math.exp((self.reported_at - now) / GROUP_LIFETIME_MS)
+        trust = math.exp((self.reported_at - now) / DOMAIN_USE_LIFETIME_MS)
         return UNKNOWN_USE + (self.mean - UNKNOWN_USE) * trust
 
     def record(self, use: float, now: Millis) -> None:
         """Add the use in one report; it counts more after a pause."""
-        trust = math.exp((self.reported_at - now) / GROUP_LIFETIME_MS)
-        self.mean += (1 - (1 - GROUP_GAIN) * trust) * (use - self.mean)
+        trust = math.exp((self.reported_at - now) / DOMAIN_USE_LIFETIME_MS)
+        self.mean += (1 - (1 - DOMAIN_USE_GAIN) * trust) * (use - self.mean)
         self.reported_at = now
 
 
@@ -75,8 +70,8 @@
     """
 
     __slots__ = (
+        'domain_use',
         'failed_at',
-        'group',
         'limit',
         'reported_at',
         'sent',
@@ -86,7 +81,7 @@
     )
 
     def __init__(self) -> None:
-        self.group = GroupUse()
+        self.domain_use = DomainUse()
         self.use = float(0)
         self.limit = 0
         self.reported_at = -math.inf
@@ -110,7 +105,7 @@
         if not report.limit:
             return
         self.use = min(report.busy / report.limit, MAX_USE)
-        self.group.record(self.use, now)
+        self.domain_use.record(self.use, now)
         if has_refused or not report.healthy:
             self.use = max(self.use, 1)
         self.reported_at = now
@@ -146,18 +141,12 @@
         """
         trust = math.exp((self.failed_at - now) / FAILURE_LIFETIME_MS)
         success_rate = max(MIN_SUCCESS_RATE, 1 - failure_rate)
-        corrected = max(use / success_rate, self.group.use(now)) + failure_rate
+        corrected = (
+            max(use / success_rate, self.domain_use.use(now)) + failure_rate
+        )
         return use + (corrected - use) * trust
 
 
-def may_leave_domain(local_use: float, remote_use: float) -> bool:
-    """Return whether an instance of another domain is clearly better."""
-    return (
-        local_use >= LEAVE_DOMAIN_USE
-        and remote_use <= local_use - LEAVE_DOMAIN_MARGIN
-    )
-
-
 class UseTotals(msgspec.Struct):
     """Sum what this node believed and what the replies then said."""
 
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -6,7 +6,7 @@
 from jasmineramp.clock import Millis
 from jasmineramp.fast_instances import Objective, choose_fast
 from jasmineramp.ids import DomainId, Importance, NodeId, ServiceName
-from jasmineramp.load_estimates import EstimateMetrics, GroupUse
+from jasmineramp.load_estimates import DomainUse, EstimateMetrics
 from jasmineramp.membership_messages import Instance
 from jasmineramp.outlier_ejection import end_excess_ejections
 from jasmineramp.routing_choice import least_loaded, select
@@ -258,7 +258,7 @@
         if now >= target.ejected_until:
             by_domain.setdefault(target.instance.domain, []).append(target)
     pools = {
-        name: Pool(members, service.group_uses.setdefault(name, GroupUse()))
+        name: Pool(members, service.domain_uses.setdefault(name, DomainUse()))
         for name, members in by_domain.items()
     }
     service.uses_estimates = all(each.slots < state.nodes for each in ready)
--- a/src/jasmineramp/routing_choice.py
+++ b/src/jasmineramp/routing_choice.py
@@ -6,7 +6,6 @@
 
 from jasmineramp.clock import Millis
 from jasmineramp.ids import NodeId
-from jasmineramp.load_estimates import LEAVE_DOMAIN_USE, may_leave_domain
 from jasmineramp.routing_targets import Pool, Service, Target
 
 SPARE_SLOTS_REFRESH_MS = 100
@@ -19,6 +18,11 @@
 MAX_SCANNED_INSTANCES = 32
 # Without it, a domain believed to be full would never be tried again.
 MIN_SPARE_SHARE = 0.02
+# A local instance is left for one of another domain only at or above this
+# use, and only if the use of the other is lower by the margin: bytes between
+# domains are billed.
+LEAVE_DOMAIN_USE = 0.9
+LEAVE_DOMAIN_MARGIN = 0.2
 
 
 def select(
@@ -38,7 +42,7 @@
     is_slow = service.is_local_slow and not is_large
     if target is None:
         return _pick_remote(rng, service, exclude, now)
-    if is_slow or _is_full(service, target, now):
+    if is_slow or _may_leave_domain(service, target, now):
         remote = _pick_remote(rng, service, exclude, now)
         if remote is not None and _is_remote_better(
             service, target, remote, now, is_slow=is_slow
@@ -61,16 +65,12 @@
     usable = [
         each
         for each in targets
-        if _is_usable(each, exclude)
+        if each.is_usable(exclude)
         and (is_last_resort or not each.is_paced(now))
     ]
     return min(usable, key=lambda each: each.load(now), default=None)
 
 
-def _is_usable(target: Target, exclude: frozenset[NodeId]) -> bool:
-    return target.in_flight < target.connections and target.node not in exclude
-
-
 def _pick(
     rng: random.Random,
     service: Service,
@@ -98,30 +98,27 @@
     exclude: frozenset[NodeId],
     now: Millis,
 ) -> Target | None:
-    """Return the instance with the lowest estimated use.
+    """Return the usable instance with the lowest estimated use, None if none.
 
     Nodes get their reports at different times, so they do not all choose the
-    same instance.
+    same instance. The estimate is that of `Service.estimate`, with the values
+    that the instances share calculated once, as this loop is most of the cost
+    of a choice.
     """
     best: Target | None = None
     lowest_use = float('inf')
-    mean_use = pool.group_use.use(now)
+    mean_use = pool.domain_use.use(now)
     tolerated_failure_rate = service.tolerated_failure_rate()
     for target in _scanned(rng, pool):
         estimate = target.estimate
-        if (
-            not estimate.limit
-            or now < target.cold_until
-            or target.in_flight >= target.connections
-            or target.node in exclude
-        ):
+        if not estimate.limit or now < target.cold_until:
             continue
         use = estimate.estimate(mean_use, target.in_flight, now)
         if target.failure_rate > tolerated_failure_rate:
             use = estimate.correct_for_failures(use, target.failure_rate, now)
         sent = min(estimate.sent, target.in_flight)
         use += EXTRA_SENT_WEIGHT * sent / estimate.limit
-        if use < lowest_use:
+        if use < lowest_use and target.is_usable(exclude):
             best, lowest_use = target, use
     return best
 
@@ -148,7 +145,7 @@
         target = _draw(rng, pool, now)
         if target is best or target is None:
             continue
-        if target.is_paced(now) or not _is_usable(target, exclude):
+        if target.is_paced(now) or not target.is_usable(exclude):
             continue
         if best is not None:
             return target if target.load(now) < best.load(now) else best
@@ -193,12 +190,12 @@
 
 def _spare(service: Service, pool: Pool, now: Millis) -> float:
     if service.uses_estimates and pool.has_reports():
-        spare_share = 1 - pool.group_use.use(now)
+        spare_share = 1 - pool.domain_use.use(now)
         return pool.total_weight * max(MIN_SPARE_SHARE, spare_share)
     return pool.spare_slots(now)
 
 
-def _is_full(service: Service, target: Target, now: Millis) -> bool:
+def _may_leave_domain(service: Service, target: Target, now: Millis) -> bool:
     """Return whether instances of other domains are considered as well."""
     if service.uses_estimates and target.has_report():
         return service.estimate(target, now) >= LEAVE_DOMAIN_USE
@@ -221,7 +218,6 @@
         and target.has_report()
         and remote.has_report()
     ):
-        return may_leave_domain(
-            service.estimate(target, now), service.estimate(remote, now)
-        )
+        local_use = service.estimate(target, now)
+        return service.estimate(remote, now) <= local_use - LEAVE_DOMAIN_MARGIN
     return remote.load(now) < target.load(now)
--- a/src/jasmineramp/routing_targets.py
+++ b/src/jasmineramp/routing_targets.py
@@ -7,7 +7,7 @@
 from jasmineramp.ids import DomainId, Importance, NodeId, RowName
 from jasmineramp.load_estimates import (
     TOLERATED_FAILURE_RATE,
-    GroupUse,
+    DomainUse,
     LoadEstimate,
 )
 from jasmineramp.membership_messages import Instance, UpstreamState
@@ -107,6 +107,13 @@
             and not self.is_evacuated
         )
 
+    def is_usable(self, exclude: frozenset[NodeId]) -> bool:
+        """Return whether it is not excluded and has a connection left.
+
+        Readiness and ejection are checked where a pool is built.
+        """
+        return self.in_flight < self.connections and self.node not in exclude
+
     def slow_start_factor(self, now: Millis) -> float:
         """Return the fraction of the weight that counts during slow start."""
         if now >= self.cold_until or now < self.cold_limit_until:
@@ -203,15 +210,18 @@
 
 
 class Pool:
-    """Hold the instances of a service in one failure domain to choose from."""
+    """Hold the instances of a service in one failure domain to choose from.
+
+    Only ready instances that are not ejected are in a pool.
+    """
 
-    __slots__ = ('cumulative_weights', 'group_use', 'targets', 'total_weight')
+    __slots__ = ('cumulative_weights', 'domain_use', 'targets', 'total_weight')
 
-    def __init__(self, targets: list[Target], group_use: GroupUse) -> None:
+    def __init__(self, targets: list[Target], domain_use: DomainUse) -> None:
         self.targets = targets
-        self.group_use = group_use
+        self.domain_use = domain_use
         for target in targets:
-            target.estimate.group = group_use
+            target.estimate.domain_use = domain_use
         self.cumulative_weights = list(
             accumulate(each.weight for each in targets)
         )
@@ -277,7 +287,7 @@
         # all have fewer slots than the fleet has nodes: a node then has less
         # than one call of its own on an instance.
         self.uses_estimates = False
-        self.group_uses: dict[DomainId, GroupUse] = {}
+        self.domain_uses: dict[DomainId, DomainUse] = {}
 
     def ready_targets(self) -> list[Target]:
         """Return the instances that accept new calls."""
@@ -293,7 +303,7 @@
     def estimate(self, target: Target, now: Millis) -> float:
         """Return the use of an instance as this node believes it."""
         use = target.estimate.estimate(
-            target.estimate.group.use(now), target.in_flight, now
+            target.estimate.domain_use.use(now), target.in_flight, now
         )
         if target.failure_rate > self.tolerated_failure_rate():
             use = target.estimate.correct_for_failures(
