--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from jasmineramp import routing
-from jasmineramp.admission import SHED_LEVEL_LIFETIME_MS
+from jasmineramp import routing, routing_restrictions
 from jasmineramp.clock import Clock, later
 from jasmineramp.fast_instances import Objective
 from jasmineramp.ids import (
@@ -39,6 +38,7 @@
 from jasmineramp.mesh.route_table import RouteRow
 from jasmineramp.refusals import RefusalCode, RunState
 from jasmineramp.routing import RoutingState
+from jasmineramp.shed_levels import SHED_LEVEL_LIFETIME_MS
 
 MIN_REMAINING_MS = 8
 # Sends of a call to another instance after an instance has refused it.
@@ -269,7 +269,7 @@
             observation.outcome = outcome_of(outcome.result)
         if outcome.is_evacuated:
             # This node may not have learned it yet.
-            admitted.excluded |= routing.nodes_in_domain(
+            admitted.excluded |= routing_restrictions.nodes_in_domain(
                 self.routes, admitted.service, instance.domain
             )
         if believed_use is not None:
