Let an owner of rates grant until others drop its entry

Cause: a node that the store refuses stopped to grant the rates that it owns when its lease expired. The others keep its entry 2.3 s longer before another owner takes over, and meanwhile each used a tenth of its part of the rate.

Change: it grants until 0.5 s before the others drop its entry. No second owner can begin earlier, as they see the deletion after the lease has expired.

--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -119,7 +119,7 @@
         self.registration = self.local_upstream.registration
         self.quotas = FleetQuotaClient(
             settings.node,
-            self.registration.is_valid,
+            self.registration.is_known,
             clock,
             name_as_owner=self.registration.name_as_owner,
             learn_entry=self._learn_entry,
--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -21,6 +21,7 @@
     encode_departures,
 )
 from jasmineramp.mesh.directory import (
+    ABSENCE_GRACE_MS,
     MemberEntry,
     departures_key,
     entry_key,
@@ -39,6 +40,9 @@
 
 LEASE_TTL_MS = 8_000
 RENEW_INTERVAL_MS = 2_000
+# Covers the drift of two clocks over the time of a lease, and a short pause
+# between this check and its use.
+KNOWN_MARGIN_MS = 500
 # An upstream announces itself every 1.5 s; after this wait, one write registers
 # both the node and its upstream.
 FIRST_ENTRY_WAIT_MS = 1_600
@@ -102,9 +106,13 @@
                 await self.stored.wait()
         return self.stored.is_set()
 
-    def is_valid(self, now: Millis) -> bool:
-        """Return whether the lease, and with it the entry, is still valid."""
-        return now < self.valid_until
+    def is_known(self, now: Millis) -> bool:
+        """Return whether the other nodes still count this one as a member.
+
+        They keep an entry for a while after its lease has expired. A node that
+        the store refuses goes on granting rates until another may take over.
+        """
+        return now < self.valid_until + ABSENCE_GRACE_MS - KNOWN_MARGIN_MS
 
     def name_as_owner(self) -> BucketOwner | None:
         """Return this node with its stored entry, None without one."""
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -6,12 +6,12 @@
 
 from bench.metadata_store import MetadataStore
 
-from jasmineramp.clock import ManualClock
+from jasmineramp.clock import ManualClock, Millis, later
 from jasmineramp.ids import DomainId, NodeId
 from jasmineramp.membership_messages import UpstreamState
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.departures import Departed, Departures
-from jasmineramp.mesh.directory import MemberEntry
+from jasmineramp.mesh.directory import ABSENCE_GRACE_MS, MemberEntry
 from jasmineramp.mesh.registration import (
     LEASE_TTL_MS,
     RENEW_INTERVAL_MS,
@@ -99,6 +99,21 @@
             registration.valid_until, self.clock.now() + LEASE_TTL_MS
         )
 
+    # Guards against an owner of rates that stops to grant when the store
+    # refuses it, long before another node takes over: its callers got a
+    # fraction of their rate. Nor may it go on when another may have.
+    async def test_node_counts_as_known_until_others_drop_its_entry(
+        self,
+    ) -> None:
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        expires_at = registration.valid_until
+        dropped_at = Millis(expires_at + ABSENCE_GRACE_MS)
+        self.assertTrue(registration.is_known(later(expires_at, 1_500)))
+        self.assertFalse(registration.is_known(dropped_at))
+        drift_ms = LEASE_TTL_MS / 100
+        self.assertFalse(registration.is_known(later(dropped_at, -drift_ms)))
+
     async def test_unchanged_entry_is_not_written_again(self) -> None:
         registration = self.start()
         await self.run_steps(registration, 2)
