Complete the answer to a HEAD request with its head

Cause: the kind of the request was kept beside its exchange and never read, so the parser waited for the body that the length announces, until the deadline (504).

Change: such an answer is complete with its head; the connection, whose parser still expects a body, is closed.

Result: the new test failed with 504 before and passes now, as do the six others of the module.

--- a/src/jasmineramp/mesh/upstream_connection.py
+++ b/src/jasmineramp/mesh/upstream_connection.py
@@ -210,6 +210,12 @@
         self.has_head = self.status >= 200  # noqa: PLR2004
         if self.status in _BODILESS_STATUSES:
             self.has_framing = True
+        exchange = self.exchange
+        if exchange is not None and exchange.head_only and self.has_head:
+            # The parser would wait for the body whose length is announced, so
+            # the connection can't be used again.
+            self.keep_alive = False
+            self._complete()
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
--- a/tests/mesh/test_upstream_http.py
+++ b/tests/mesh/test_upstream_http.py
@@ -59,6 +59,14 @@
         status, _, _ = await self.fleet.call(0, '/buy/1', request_id)
         return status
 
+    # Guards against a HEAD request that waits for a body until its deadline.
+    async def test_answer_to_head_has_no_body(self) -> None:
+        for number in range(2):
+            status, _, body = await self.fleet.call(
+                0, '/read/1', f'id-{number}', method='HEAD'
+            )
+            self.assertEqual((status, body), (200, b''))
+
     # Guards against REFUSED and TWICE: an earlier refusal, written once more on
     # a kept connection, that answers a call which runs.
     async def test_repeated_refusal_of_the_same_id_is_not_believed(
