--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -127,14 +127,22 @@
         for service, totals in gauges.use_totals.items():
             family.add_metric((service,), getattr(totals, field))
         yield family
-    left = CounterMetricFamily(
-        f'{PREFIX}left_domain',
-        'Calls by estimated use that went to another failure domain.',
-        labels=('name',),
-    )
-    for service, count in gauges.left_domain.items():
-        left.add_metric((service,), count)
-    yield left
+    for name, text, counts in (
+        (
+            'left_domain',
+            'Calls by estimated use that went to another failure domain.',
+            gauges.left_domain,
+        ),
+        (
+            'fast_choices',
+            'Calls with a short objective that went to a fast instance.',
+            gauges.fast_choices,
+        ),
+    ):
+        family = CounterMetricFamily(f'{PREFIX}{name}', text, labels=('name',))
+        for service, count in counts.items():
+            family.add_metric((service,), count)
+        yield family
 
 
 def _gauge_families(gauges: Gauges) -> Iterable[object]:
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -365,6 +365,7 @@
             self.evacuations.evacuated(),
             self.routes.estimate_metrics.totals,
             self.routes.estimate_metrics.left_domain,
+            self.routes.fast_choice_counts,
             self.gate.cold.remaining_ms(self.clock.now()),
             len(self.caller_server.connections),
             self.receive_budget.used_bytes,
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -59,6 +59,7 @@
     evacuated: frozenset[DomainId] = frozenset()
     use_totals: Mapping[ServiceName, UseTotals] = {}
     left_domain: Mapping[ServiceName, int] = {}
+    fast_choices: Mapping[ServiceName, int] = {}
     cold_ms: float = 0
     caller_connections: int = 0
     message_bytes: int = 0
--- a/src/jasmineramp/routing.py
+++ b/src/jasmineramp/routing.py
@@ -1,6 +1,7 @@
 """Choose the instance of a service that runs a call."""
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 
 from jasmineramp.clock import Millis
@@ -43,6 +44,8 @@
         # Nodes of the fleet, 0 if unknown.
         self.nodes = 0
         self.estimate_metrics = EstimateMetrics()
+        # Calls with a short objective that went to a fast instance.
+        self.fast_choice_counts: Counter[ServiceName] = Counter()
 
 
 def set_nodes(state: RoutingState, nodes: int) -> None:
@@ -150,6 +153,7 @@
             nodes=max(state.nodes, len(state.targets)),
             is_large=is_large,
         )
+        state.fast_choice_counts[service_name] += target is not None
     if target is None:
         target = select(state.random, service, exclude, now, is_large=is_large)
     if target is None:
