--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -13,6 +13,12 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 40
 REFUSALS = frozenset((429, 503))
+EVAC_S = 1.0
+# Tolerance of time checks for nodes that are stopped or cut off meanwhile.
+TOUCH_S = 3.0
+COLD_PER_S = 2.0
+COLD_OVER = 1.5
+COLD_SLACK = 8.0
 CLOSED = 0
 BAD_GATEWAY = 502
 NOT_FOUND = 404
@@ -24,6 +30,17 @@
     time: float
     request_id: str
     workspace: str
+    instance: str = ''
+    domain: str = ''
+    is_cold: bool = False
+
+
+class Evacuation(msgspec.Struct, frozen=True):
+    """Hold when nodes could read the key of an evacuation without failure."""
+
+    domain: str
+    start: float
+    end: float
 
 
 class Ending(msgspec.Struct, frozen=True):
@@ -46,6 +63,7 @@
         self.endings: dict[str, Ending] = {}
         self.known: set[str] = set()
         self.gone: set[str] = set()
+        self.evacuations: list[Evacuation] = []
         self.wrong: list[str] = []
 
     def note_route(self, place: str, request_id: str, status: int) -> None:
@@ -76,6 +94,8 @@
                 self.wrong.append(f'{request_id} ran, its answer was lost')
         self._judge_rate(limited)
         self._judge_repeats()
+        self._judge_evacuations()
+        self._judge_cold_instances()
         self._judge_planned_stops(set(runs))
         if not runs or 200 not in self.ends.values():
             self.wrong.append('nothing was served')
@@ -113,6 +133,36 @@
                 self.wrong.append(f'{count} repeats of {requests} requests')
                 return
 
+    def _judge_evacuations(self) -> None:
+        for evacuation in self.evacuations:
+            late = [
+                each
+                for each in self.arrivals
+                if each.domain == evacuation.domain
+                and evacuation.start + EVAC_S + TOUCH_S < each.time
+                and each.time < evacuation.end
+            ]
+            if late:
+                after = late[-1].time - evacuation.start
+                self.wrong.append(
+                    f'{len(late)} calls ran in evacuated {evacuation.domain}, '
+                    f'the last {late[-1].request_id} at {late[-1].instance} '
+                    f'{after:.1f} s after the write'
+                )
+
+    def _judge_cold_instances(self) -> None:
+        times: dict[str, list[float]] = {}
+        for each in self.arrivals:
+            if each.is_cold:
+                times.setdefault(each.instance, []).append(each.time)
+        bound = COLD_PER_S * COLD_OVER + COLD_SLACK
+        for instance, arrivals in times.items():
+            most = _most_within(arrivals, 1)
+            if most > bound:
+                self.wrong.append(
+                    f'cold {instance} got {most} calls, {bound:.0f} may'
+                )
+
     def _judge_planned_stops(self, begun: set[str]) -> None:
         for request_id, ending in self.endings.items():
             is_given_up = ending.status == CLOSED or (
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -5,9 +5,12 @@
 import json
 import random
 import time
+from collections.abc import AsyncIterator
 
 from bench.metadata_store import Fault, MetadataStore
 
+from tests.soak.history import Evacuation, History
+
 EDIT_PAUSE_S = (0.3, 1.2)
 COPY_PAUSE_S = (0.2, 1.0)
 COPY_AGE_S = (1.0, 4.0)
@@ -16,6 +19,11 @@
 REWRITE_S = 0.5
 LONGEST_RETURN_S = COPY_PAUSE_S[1] + COPY_AGE_S[1] + AWAY_S[1] + REWRITE_S
 MOST_ADDED = 3
+DOMAINS = ('z0', 'z1')
+EVACUATION_PAUSE_S = (0.3, 1.0)
+# Above the bound and its tolerance.
+EVACUATED_S = (5.0, 6.0)
+POLL_S = 0.02
 
 
 class Operator:
@@ -78,6 +86,28 @@
                 self.removed[path] = now
             self.write(self.extend(configuration))
 
+    async def evacuate(self, history: History) -> AsyncIterator[str]:
+        """Evacuate domains one by one; yield each before its key is deleted.
+
+        No node can learn of a key while the store fails, so an evacuation
+        counts from the end of the last failure.
+        """
+        while True:
+            await asyncio.sleep(self.rng.uniform(*EVACUATION_PAUSE_S))
+            domain = self.rng.choice(DOMAINS)
+            self.store.write(f'op/evacuate/{domain}', b'{}')
+            start = time.monotonic()
+            end = start + self.rng.uniform(*EVACUATED_S)
+            while time.monotonic() < end:
+                await asyncio.sleep(POLL_S)
+                if self.store.fault is not Fault.none:
+                    start = time.monotonic()
+            yield domain
+            history.evacuations.append(
+                Evacuation(domain, start, time.monotonic())
+            )
+            self.store.remove(f'op/evacuate/{domain}')
+
     async def return_until(
         self, end: float, configuration: dict[str, object]
     ) -> None:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -19,6 +19,8 @@
 ROUNDS = 2
 RESTORED_SEED = 3
 RESTORED_SECONDS = 30
+EVACUATED_SEED = 4
+EVACUATED_SECONDS = 14
 
 
 class SoakTest(unittest.TestCase):
@@ -45,6 +47,17 @@
         self.assertEqual(asyncio.run(soak.run()), [])
         self.assertGreater(soak.operator.lost, 0)
 
+    def test_evacuated_domains_and_cold_instances(self) -> None:
+        """No call runs in an evacuated domain; cold instances get few."""
+        soak = Soak(
+            EVACUATED_SEED,
+            EVACUATED_SECONDS,
+            REGRESSION_NODES,
+            has_evacuations=True,
+        )
+        self.assertEqual(asyncio.run(soak.run()), [])
+        self.assertGreater(len(soak.history.evacuations), 1)
+
     def test_nodes_end_with_a_run_that_fails_early(self) -> None:
         """A fleet that never becomes ready leaves no process behind."""
         soak = Soak(SEED, SECONDS, NODES)
