Take no heartbeat right after an evacuation for a later one

The node had been stopped for 1.8 s; on waking it applied the end of the evacuation, counted the instance as cold, and 2 ms later handled a heartbeat that had been sent before it turned cold.

Change: after an evacuation a heartbeat without a cold time counts only 1 s later. One with a cold time counts at once.

--- a/src/jasmineramp/mesh/cold_limit.py
+++ b/src/jasmineramp/mesh/cold_limit.py
@@ -33,6 +33,9 @@
 MAX_COLD_MS = 3_600_000
 # An instance announces itself every 1.5 s.
 UNKNOWN_COLD_MS = 1_500
+# An announcement that arrives sooner after an evacuation may have been sent
+# before its end, as when the node was stopped in between.
+MIN_CONFIRMATION_MS = 1_000
 _NEVER = Millis(float('-inf'))
 
 
@@ -77,6 +80,7 @@
         self.awaits_announcement = True
         # Not after a start of the node alone, of which peers need not know.
         self.is_suspected = False
+        self.accepted_from = _NEVER
         self.tokens = float(0)
         self.refilled_at = _NEVER
         self.interval_ms = float(0)
@@ -112,6 +116,8 @@
 
     def announce(self, cold_ms: float, now: Millis) -> None:
         """Apply the cold time that an instance has announced."""
+        if cold_ms <= 0 and now < self.accepted_from:
+            return
         if cold_ms > 0:
             # An absurd time must not reach the frames to peers.
             self.cold_until = later(now, min(cold_ms, MAX_COLD_MS))
@@ -122,10 +128,14 @@
         self.awaits_announcement = False
         self.is_suspected = False
 
-    def await_announcement(self) -> None:
-        """Count the instance as cold until it announces its cold time."""
+    def await_announcement(self, accepted_from: Millis) -> None:
+        """Count the instance as cold until it announces its cold time.
+
+        What it announces before `accepted_from` may be older than the reason.
+        """
         self.awaits_announcement = True
         self.is_suspected = True
+        self.accepted_from = accepted_from
 
     def rate(self, now: Millis) -> float:
         """Return the calls a second that may start, infinite if not limited."""
--- a/src/jasmineramp/mesh/instance_gate.py
+++ b/src/jasmineramp/mesh/instance_gate.py
@@ -23,7 +23,11 @@
     not_run_failure,
     run_unknown_failure,
 )
-from jasmineramp.mesh.cold_limit import ColdLimit, ColdRule
+from jasmineramp.mesh.cold_limit import (
+    MIN_CONFIRMATION_MS,
+    ColdLimit,
+    ColdRule,
+)
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.downstream import DownstreamPressure
 from jasmineramp.mesh.evacuations import DomainState
@@ -100,7 +104,9 @@
             return
         if self.is_evacuated():
             # It may have turned cold before the operators ended it.
-            self.cold.await_announcement()
+            self.cold.await_announcement(
+                later(self.clock.now(), MIN_CONFIRMATION_MS)
+            )
         self.domain_state = state
         if state is not DomainState.open:
             self.drain()
--- a/src/jasmineramp/mesh/own_upstream.py
+++ b/src/jasmineramp/mesh/own_upstream.py
@@ -193,7 +193,7 @@
             and is_fresh(announcement.born, read_unix_ms(), cold.rule)
         ):
             # It may not know yet that it is cold.
-            cold.await_announcement()
+            cold.await_announcement(now)
         else:
             cold.announce(announcement.cold_ms, now)
         self._apply_cold_rule()
--- a/tests/mesh/test_cold_instance.py
+++ b/tests/mesh/test_cold_instance.py
@@ -98,6 +98,10 @@
         await self.announce('0ms')
         self.gate.set_domain_state(DomainState.open)
         self.assertTrue(self.is_cold())
+        # This may have been sent before the end.
+        await self.announce('0ms')
+        self.assertTrue(self.is_cold())
+        self.gate.cold.accepted_from = self.gate.clock.now()
         await self.announce('0ms')
         self.assertFalse(self.is_cold())
 
--- a/tests/mesh/test_cold_limit.py
+++ b/tests/mesh/test_cold_limit.py
@@ -8,7 +8,7 @@
 
 from jasmineramp import admission, routing, routing_outcomes
 from jasmineramp.admission import AdmissionState, Decision, Refuse, Start
-from jasmineramp.clock import ManualClock, Millis
+from jasmineramp.clock import ManualClock, Millis, later
 from jasmineramp.fair_queue import QueuedCall
 from jasmineramp.ids import (
     CallId,
@@ -22,7 +22,11 @@
 from jasmineramp.limits import CallOutcome
 from jasmineramp.load_reports import LoadReport
 from jasmineramp.membership_messages import Instance, Upstream, UpstreamState
-from jasmineramp.mesh.cold_limit import ColdLimit, ColdRule
+from jasmineramp.mesh.cold_limit import (
+    MIN_CONFIRMATION_MS,
+    ColdLimit,
+    ColdRule,
+)
 from jasmineramp.mesh.slot_limit import SlotLimiter
 
 RULE = ColdRule(6.5, 5000)
@@ -127,6 +131,18 @@
         calls = busiest_second(self.gate.starts, 1300)
         self.assertLessEqual(calls, rule.bound())
 
+    # Guards against FAILBACK: a heartbeat sent before the end of an evacuation
+    # and handled after it, as by a node that was stopped in between.
+    def test_announcement_right_after_an_evacuation_may_be_old(self) -> None:
+        cold = ColdLimit(RULE)
+        cold.await_announcement(later(self.clock.now(), MIN_CONFIRMATION_MS))
+        self.clock.advance(3)
+        cold.announce(0, self.clock.now())
+        self.assertTrue(cold.is_cold(self.clock.now()))
+        self.clock.advance(1500)
+        cold.announce(0, self.clock.now())
+        self.assertFalse(cold.is_cold(self.clock.now()))
+
     # Guards against FAILBACK: calls that started or queued before the instance
     # turned cold, with those after it.
     def test_calls_before_the_change_count_too(self) -> None:
@@ -186,7 +202,7 @@
         self.assertFalse(cold.remaining_ms(Millis(0)))
         cold.announce(0, Millis(0))
         self.assertFalse(cold.is_limited(Millis(0)))
-        cold.await_announcement()
+        cold.await_announcement(Millis(0))
         self.assertTrue(cold.is_cold(Millis(9e6)))
         self.assertFalse(ColdLimit(ColdRule()).is_cold(Millis(0)))
 
