--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -48,11 +48,15 @@
         self.file.flush()
 
 
-def free_port(host: str) -> int:
-    """Return a port of a loopback address that is free now."""
-    with socket.socket() as listener:
-        listener.bind((host, 0))
-        return int(listener.getsockname()[1])
+def free_ports(host: str, count: int) -> list[int]:
+    """Return different ports of a loopback address that are free now."""
+    with contextlib.ExitStack() as stack:
+        listeners = [
+            stack.enter_context(socket.socket()) for _ in range(count)
+        ]
+        for listener in listeners:
+            listener.bind((host, 0))
+        return [int(each.getsockname()[1]) for each in listeners]
 
 
 class Machine:
@@ -68,10 +72,12 @@
         self.sequence = 0
         self.state = 'ready'
         self.process: subprocess.Popen[bytes] | None = None
-        # Connections leave from HOST, so they can't take a port of a node.
-        self.host = f'127.0.0.{10 + number}'
-        self.ports = {name: free_port(self.host) for name in LISTENS}
-        self.metrics_port = free_port(self.host)
+        # Of its own, so that neither another script nor a connection, which
+        # leaves from HOST, can take a port of the node.
+        network = f'127.{1 + os.getpid() // 256 % 254}.{os.getpid() % 256}'
+        self.host = f'{network}.{10 + number}'
+        *ports, self.metrics_port = free_ports(self.host, len(LISTENS) + 1)
+        self.ports = dict(zip(LISTENS, ports, strict=True))
         self.boot = fleet.folder / f'{self.name}.conf'
         self.log = fleet.folder / f'{self.name}.log'
         self.peak_mib = 0.0
