--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -27,6 +27,8 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.lease_ids = itertools.count(100)
         self.changed = asyncio.Event()
+        # While it is down, it resets all connections; leases run out.
+        self.is_down = False
         # Puts a proxy between the nodes, by the port in an entry.
         self.rewrite: Callable[[str, bytes], bytes] = keep
 
@@ -84,7 +86,13 @@
     ) -> None:
         try:
             while (request := await read_message(reader)) is not None:
+                if self.is_down:
+                    writer.transport.abort()
+                    return
                 status, answer = await self._answer(request)
+                if self.is_down:
+                    writer.transport.abort()
+                    return
                 writer.write(
                     encode(
                         f'HTTP/1.1 {status} -',
