Test crowds whose calls run at other nodes

Clients outside our control ended processes. The tests so far have one node whose instance answers at once, so they miss what a node holds for others after a message is complete: answers and calls between nodes, the rest of uploads that were answered early, ids of earlier calls.

The new crowds run against one or two real processes of 64 MiB and 300 descriptors. They check that the processes live, the peak of the resident memory, the open descriptors and one ordinary request afterwards; no times.

--- a/tests/fakes/untrusted.py
+++ b/tests/fakes/untrusted.py
@@ -50,6 +50,15 @@
         while await self.loop.sock_recv(self.socket, 65_536):
             await asyncio.sleep(0)
 
+    async def read(self, size: int) -> None:
+        """Read at least this many bytes; raise OSError at the end."""
+        while size > 0:
+            data = await self.loop.sock_recv(self.socket, 65_536)
+            if not data:
+                raise ConnectionResetError
+            size -= len(data)
+            await asyncio.sleep(0)
+
     def request(self, method: bytes, target: bytes, size: int = 0) -> bytes:
         """Return the head of a valid request with a body of a length."""
         Client.count += 1
@@ -149,3 +158,46 @@
     head = client.request(b'POST', b'/buy/1', size)
     await client.send(head + b'x' * (size - 1))
     await asyncio.Event().wait()
+
+
+async def ignore_responses_behind_slow_one(client: Client) -> None:
+    """Request a slow response and long ones at once, and read none."""
+    paths = [b'/read/slow'] + [b'/read/750000'] * 12
+    await client.send(b''.join(client.request(b'GET', each) for each in paths))
+    await asyncio.Event().wait()
+
+
+async def read_long_responses(client: Client) -> None:
+    """Request one long response after the other and read each at once."""
+    for _ in range(1000):
+        await client.send(client.request(b'GET', b'/read/1000000'))
+        await client.read(1_000_000)
+
+
+async def leave_long_responses(client: Client) -> None:
+    """Request a long response and leave after its first bytes."""
+    await client.send(client.request(b'GET', b'/read/1500000'))
+    await client.read(100_000)
+
+
+async def upload_in_turn(client: Client) -> None:
+    """Send one upload after the other, each until it is answered."""
+    size = 3_000_000
+    for _ in range(1000):
+        head = client.request(b'POST', b'/brief/1', size)
+        await client.send(head + b'x' * size)
+        await client.read(20)
+
+
+async def send_half_frame(client: Client) -> None:
+    """Send the start of a frame, as another node would, and stay."""
+    await client.send(b'\0\0')
+    await client.wait_for_close()
+
+
+async def send_long_ids(client: Client) -> None:
+    """Send one request after the other, each with an id of many bytes."""
+    for _ in range(10_000):
+        head = client.request(b'GET', b'/read/100')
+        await client.send(head.replace(b'Id: ', b'Id: ' + b'x' * 15_000, 1))
+        await client.read(15_000)
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -77,6 +77,7 @@
         self.longest_work_s = 0.15
         self.told_to_stop = float('inf')
         self.memory_mib = MEMORY_MIB
+        self.slots = 8
         # The process limit on open descriptors; None leaves it as it is.
         self.max_descriptors: int | None = None
 
@@ -196,7 +197,11 @@
         cold_s = max(0, self.cold_until - time.monotonic())
         body = {
             'address': f'{HOST}:{self.upstream_port}',
-            'info': {'service': 'orders', 'zone': self.domain, 'slots': 8},
+            'info': {
+                'service': 'orders',
+                'zone': self.domain,
+                'slots': self.slots,
+            },
             'status': {
                 'state': state,
                 'sequence': self.upstream.sequence,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,6 +28,10 @@
         self.host = host
         self.target = target
         self.mode = Mode.relay
+        # Limits what it takes from the target; None leaves it unlimited.
+        self.answer_bytes_per_s: float | None = None
+        # The same for what it takes from those who connect to it.
+        self.request_bytes_per_s: float | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
@@ -80,11 +84,23 @@
                     break
                 if self.mode is not Mode.silence and not is_lost:
                     writer.write(data)
+                    await self._wait_for_link(writer, len(data), is_answer)
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         writer.close()
 
+    async def _wait_for_link(
+        self, writer: asyncio.StreamWriter, size: int, is_answer: bool
+    ) -> None:
+        """Wait until a narrow link has carried this many bytes."""
+        bytes_per_s = self.request_bytes_per_s
+        if is_answer:
+            bytes_per_s = self.answer_bytes_per_s
+        if bytes_per_s is not None:
+            await asyncio.sleep(size / bytes_per_s)
+            await writer.drain()
+
     async def _flood(self, writer: asyncio.StreamWriter) -> None:
         """Send without end until the reader or the disturbance ends."""
         writer.write(FLOOD_HEAD)
