Keep the body of a request that offers an upgrade

The parser ends such a request with its head, because what follows belongs to the other protocol if the server accepts. The node never does, so it now gives the head without the offer to a new parser, which reads body and later requests as usual. The connection stays open; CONNECT still ends it.

test_request_for_an_upgrade_keeps_its_body failed before, in each of its six forms. test_request_for_an_upgrade_is_answered waited for the close that the fault brought with it; it now reads the answer and checks that the connection serves two more requests.

--- a/src/jasmineramp/mesh/caller_reader.py
+++ b/src/jasmineramp/mesh/caller_reader.py
@@ -60,6 +60,8 @@
     memory_bytes: int
 
 
+_CONNECT = b'CONNECT'
+_UPGRADE = b'upgrade'
 _MALFORMED = Violation(HTTPStatus.BAD_REQUEST, Cause.malformed)
 _LONG_HEAD = Violation(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, Cause.head)
 _LONG_BODY = Violation(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Cause.body)
@@ -79,8 +81,10 @@
         self.stage = BETWEEN
         self.empty_line_bytes = 0
         self.violation: Violation | None = None
-        # After a protocol upgrade, which is ignored, nothing can be parsed.
+        # Nothing can be parsed behind a CONNECT request.
         self.is_finished = False
+        # The parser ends a request that offers another protocol with its head.
+        self.offers_upgrade = False
         self.headers: Headers = []
         self.piece_bytes = 0
         self._reset()
@@ -99,9 +103,9 @@
         else:
             self.empty_line_bytes += size
         try:
-            self.parser.feed_data(piece)
+            self._parse(piece)
         except httptools.HttpParserUpgrade:
-            return self._ignore_upgrade()
+            return self._end_with_connect()
         except httptools.HttpParserError:
             return _MALFORMED
         if begun_count != self.begun_count:
@@ -158,17 +162,17 @@
             self.wants_continue = True
 
     def on_headers_complete(self) -> None:
-        """Start reading the body; ignore a protocol upgrade."""
+        """Start reading the body."""
         self.stage = BODY
         if self.head_bytes > self.limits.max_header_bytes:
             self.head_bytes = len(self.target) + sum(
                 len(name) + len(value) + HEADER_FRAMING_BYTES
                 for name, value in self.headers
             )
-        if self.parser.should_upgrade():
-            self.headers = [
-                each for each in self.headers if each[0].lower() != b'upgrade'
-            ]
+        self.offers_upgrade = (
+            self.parser.should_upgrade()
+            and self.parser.get_method() != _CONNECT
+        )
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
@@ -176,6 +180,8 @@
 
     def on_message_complete(self) -> None:
         """Collect the request unless it exceeds a limit."""
+        if self.offers_upgrade:
+            return
         self.stage = BETWEEN
         self.empty_line_bytes = 0
         self.wants_continue = False
@@ -225,8 +231,47 @@
             return _LONG_BODY
         return None
 
-    def _ignore_upgrade(self) -> Violation | None:
-        """Let the request behave as the last one of its connection."""
+    def _parse(self, piece: bytes | memoryview) -> None:
+        """Parse a piece; decline the protocol upgrades that it offers.
+
+        Raise HttpParserUpgrade behind a CONNECT request.
+        """
+        while True:
+            try:
+                self.parser.feed_data(piece)
+            except httptools.HttpParserUpgrade as error:
+                if not self.offers_upgrade:
+                    raise
+                piece = memoryview(piece)[error.args[0] :]
+            else:
+                return
+            self._read_on_without_upgrade()
+            self.piece_bytes = len(piece)
+
+    def _read_on_without_upgrade(self) -> None:
+        """Expect the body of a request whose upgrade is declined.
+
+        A new parser gets the head without the offer, since the present one
+        takes the body for the other protocol.
+        """
+        self.offers_upgrade = False
+        version = self.parser.get_http_version().encode()
+        lines = [
+            b'%s %s HTTP/%s' % (self.parser.get_method(), self.target, version)
+        ]
+        lines += [
+            b'%s: %s' % header
+            for header in self.headers
+            if header[0].lower() != _UPGRADE
+        ]
+        head = b'\r\n'.join((*lines, b'', b''))
+        self.begun_count -= 1
+        self.piece_bytes = len(head)
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(head)
+
+    def _end_with_connect(self) -> Violation | None:
+        """Let a CONNECT request behave as the last one of its connection."""
         self.is_finished = True
         if self.violation is None and self.complete:
             self.complete[-1].keep_alive = False
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -20,6 +20,10 @@
 DEADLINE_S = 5
 GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
 POST = b'POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+UPGRADE = (
+    b'POST /1 HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+    b'Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n%s\r\n\r\n'
+)
 LONG_RESPONSE_BYTES = 2 * MEBIBYTE
 
 
@@ -29,6 +33,7 @@
     async def asyncSetUp(self) -> None:
         self.kept: list[tuple[object, object]] = []
         self.targets: list[bytes] = []
+        self.bodies: list[bytes] = []
         self.response_size = 2
         self.gate = asyncio.Event()
         self.gate.set()
@@ -55,6 +60,7 @@
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answer once the gate is open."""
         self.targets.append(request.target)
+        self.bodies.append(request.body)
         await self.gate.wait()
         return CallerResponse(200, [], b'x' * self.response_size)
 
@@ -128,11 +134,36 @@
         self.assertLess(response.index(b' 200 '), response.index(b' 400 '))
 
     async def test_request_for_an_upgrade_is_answered(self) -> None:
-        reader, _ = await self.connect(
+        reader, writer = await self.connect(
             b'GET /1 HTTP/1.1\r\nHost: a\r\n'
             b'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n'
         )
-        self.assertIn(b' 200 ', await self.read_all(reader))
+        async with asyncio.timeout(DEADLINE_S):
+            self.assertIn(b' 200 ', await reader.readuntil(b'xx'))
+        # The connection serves further requests.
+        writer.write(GET % 2 + b'GET /3 HTTP/1.0\r\n\r\n')
+        self.assertEqual((await self.read_all(reader)).count(b' 200 '), 2)
+
+    # Guards against requests that run without the body that was sent.
+    async def test_request_for_an_upgrade_keeps_its_body(self) -> None:
+        for framing, content in (
+            (b'Content-Length: 5', b'hello'),
+            (b'Transfer-Encoding: chunked', b'5\r\nhello\r\n0\r\n\r\n'),
+        ):
+            for pause_at in (None, 90, -3):
+                with self.subTest(framing, pause_at=pause_at):
+                    self.targets.clear()
+                    self.bodies.clear()
+                    sent = UPGRADE % framing + content + GET % 2
+                    reader, writer = await self.connect(sent[:pause_at])
+                    if pause_at is not None:
+                        await asyncio.sleep(0.05)
+                        writer.write(sent[pause_at:])
+                    async with asyncio.timeout(DEADLINE_S):
+                        await reader.readuntil(b'\r\n\r\n')
+                        await reader.readuntil(b'\r\n\r\n')
+                    self.assertEqual(self.targets, [b'/1', b'/2'])
+                    self.assertEqual(self.bodies, [b'hello', b''])
 
     # Guards against a reset that takes the refusal from a caller which is
     # still sending.
