Ignore the trailers of a request

Trailers behind a body in chunks were taken for headers, reached the instance as such, and were not part of the memory that the request is charged for.

HTTP lets a recipient discard trailers, and merging them into the headers is not allowed without knowing each. The bound on bytes beside the body still holds.

test_trailers_are_ignored failed before: the handler got X-Late as a header.

--- a/src/jasmineramp/mesh/caller_reader.py
+++ b/src/jasmineramp/mesh/caller_reader.py
@@ -156,7 +156,9 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; ignore a trailer, which is none."""
+        if self.stage is BODY:
+            return
         self.headers.append((name, value))
         if name.lower() == b'expect' and value.lower() == b'100-continue':
             self.wants_continue = True
--- a/tests/mesh/test_caller_connection.py
+++ b/tests/mesh/test_caller_connection.py
@@ -34,6 +34,7 @@
         self.kept: list[tuple[object, object]] = []
         self.targets: list[bytes] = []
         self.bodies: list[bytes] = []
+        self.names: list[list[bytes]] = []
         self.response_size = 2
         self.gate = asyncio.Event()
         self.gate.set()
@@ -61,6 +62,7 @@
         """Answer once the gate is open."""
         self.targets.append(request.target)
         self.bodies.append(request.body)
+        self.names.append([name for name, _ in request.headers])
         await self.gate.wait()
         return CallerResponse(200, [], b'x' * self.response_size)
 
@@ -165,6 +167,18 @@
                     self.assertEqual(self.targets, [b'/1', b'/2'])
                     self.assertEqual(self.bodies, [b'hello', b''])
 
+    # Guards against trailers that pass for headers and are in no budget.
+    async def test_trailers_are_ignored(self) -> None:
+        await self.connect(
+            b'POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n1\r\nx\r\n0\r\nX-Late: 1\r\n\r\n' + GET % 2
+        )
+        await self.until(lambda: len(self.targets) == 2)
+        self.assertEqual(self.bodies, [b'x', b''])
+        self.assertEqual(
+            self.names, [[b'Host', b'Transfer-Encoding'], [b'Host']]
+        )
+
     # Guards against a reset that takes the refusal from a caller which is
     # still sending.
     async def test_refusal_reaches_a_caller_that_sends(self) -> None:
