Test early answers of an instance that reads slowly

An instance may answer before it has read a body and read on later; the crowd of the earlier test has one that reads at once behind its proxy.

--- a/tests/mesh/test_untrusted_fleet.py
+++ b/tests/mesh/test_untrusted_fleet.py
@@ -76,5 +76,11 @@
         self.members[0].upstream.server.answers_early = True  # type: ignore[attr-defined]
         await self.check(20, untrusted.upload_in_turn)
 
+    async def test_uploads_answered_early_and_read_slowly(self) -> None:
+        member = self.members[0]
+        member.upstream.server.answers_early = True  # type: ignore[attr-defined]
+        member.to_upstream.request_bytes_per_s = LINK_BYTES_PER_S
+        await self.check(20, untrusted.upload_in_turn)
+
     async def test_long_request_ids(self) -> None:
         await self.check(80, untrusted.send_long_ids)
