Count the rest of requests that were answered early

Closing connections are now counted in the budget until their transport has sent everything. They hold a quarter of it at most, and go first when others need memory: the call is answered. A single one is sent to its end.

--- a/src/jasmineramp/mesh/caller_http.py
+++ b/src/jasmineramp/mesh/caller_http.py
@@ -147,6 +147,8 @@
         if missing_bytes > 0:
             budget = self.budget
             limit = limit_for(size, budget.total_bytes)
+            if budget.used_bytes + missing_bytes > budget.total_bytes:
+                budget.reclaim(missing_bytes)
             if budget.used_bytes + missing_bytes > limit:
                 self.free_memory(missing_bytes, connection)
                 if not must and budget.used_bytes + missing_bytes > limit:
--- a/src/jasmineramp/mesh/metrics_text.py
+++ b/src/jasmineramp/mesh/metrics_text.py
@@ -65,6 +65,11 @@
             'Responses cut off by exceeded bound.',
             metrics.cut_answers,
         ),
+        (
+            'connections_cut',
+            'Closed connections to upstreams and from other nodes by kind.',
+            metrics.cut_connections,
+        ),
         (
             'pipelined',
             'Pipelined requests that ran beside others or were not read.',
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -289,6 +289,7 @@
         connection_limits = connection_limits_for(
             find_max_descriptors(self.settings.max_descriptors)
         )
+        self.gate.pool.closing.counts = self.metrics.cut_connections
         causes = CauseCounts(self.metrics.cut_callers, self.log.write)
         self.caller_server = CallerServer(
             self.entry.handle,
--- a/src/jasmineramp/mesh/node_metrics.py
+++ b/src/jasmineramp/mesh/node_metrics.py
@@ -74,6 +74,7 @@
         self.failures_by_code: Counter[str] = Counter()
         self.repeats: Counter[str] = Counter()
         self.cut_answers: Counter[str] = Counter()
+        self.cut_connections: Counter[str] = Counter()
         self.pipelined: Counter[str] = Counter()
         self.domain_refusals: Counter[str] = Counter()
         self.cold_refusals = 0
--- a/src/jasmineramp/mesh/receive_limits.py
+++ b/src/jasmineramp/mesh/receive_limits.py
@@ -173,19 +173,38 @@
         self.total_bytes = total_bytes
         self.used_bytes = 0
         self.waiting: deque[Reservation] = deque()
+        self.is_granting = False
+        # Free memory that is of little use, until the given size is left.
+        self.reclaimers: list[Callable[[int], None]] = []
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes; return False if too few are left."""
-        if self.used_bytes + size > self.total_bytes:
-            return False
+        if not self.has_room(size):
+            self.reclaim(size)
+            if not self.has_room(size):
+                return False
         self.used_bytes += size
         return True
 
+    def has_room(self, size: int) -> bool:
+        """Return whether this many bytes are left."""
+        return self.used_bytes + size <= self.total_bytes
+
+    def reclaim(self, size: int) -> None:
+        """Free memory that is of little use, so that this much is left."""
+        for reclaimer in self.reclaimers:
+            reclaimer(size)
+
     def release(self, size: int) -> None:
         """Return bytes and grant waiting reservations in their order."""
         self.used_bytes -= size
+        if self.is_granting:
+            # A grant reclaims memory, which releases bytes.
+            return
+        self.is_granting = True
         while self.waiting and self.waiting[0].try_grant():
             self.waiting.popleft()
+        self.is_granting = False
 
 
 class Reservation:
--- a/src/jasmineramp/mesh/upstream_pool.py
+++ b/src/jasmineramp/mesh/upstream_pool.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 from jasmineramp.clock import MILLIS_PER_SECOND
+from jasmineramp.mesh.closing_connections import ClosingConnections
 from jasmineramp.mesh.receive_limits import ReceiveBudget, ReceiveLimits
 from jasmineramp.mesh.upstream_connection import (
     ResponseHeadReader,
@@ -38,6 +39,7 @@
         self.max_body_bytes = limits.body_bytes
         self.budget = budget
         self.idle: deque[UpstreamConnection] = deque()
+        self.closing = ClosingConnections(budget)
         self.is_closed = False
         self.opened_count = 0
 
@@ -85,7 +87,7 @@
             or len(self.idle) >= MAX_IDLE_CONNECTIONS
         ):
             connection.keep_alive = False
-            connection.transport.close()
+            self.closing.close(connection.transport)
             return
         connection.is_reused = True
         connection.idle_since = asyncio.get_running_loop().time()
@@ -93,11 +95,13 @@
 
     def discard(self, connection: UpstreamConnection) -> None:
         """Remove a connection that has ended from the pool."""
+        self.closing.discard(connection.transport)
         if connection in self.idle:
             self.idle.remove(connection)
 
     def expire(self) -> None:
         """Close the connections that exceed their idle limit."""
+        self.closing.expire()
         now = asyncio.get_running_loop().time()
         while self.idle:
             connection = self.idle[0]
