Count what waits to be sent between nodes

A connection between nodes is counted in the budget as soon as its transport reports a buffer over 64 KiB, until everything is sent; shorter ones cost nothing. Beyond a quarter of the budget no further call is sent or taken there, as not run. Answers that are ready wait as long as memory lasts; then one over 64 KiB becomes a failure that may have run.

--- a/src/jasmineramp/mesh/fleet_view.py
+++ b/src/jasmineramp/mesh/fleet_view.py
@@ -15,6 +15,7 @@
 from jasmineramp.mesh.peer_links import PeerLink
 from jasmineramp.mesh.peer_messages import BucketOwner, StateChanged
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
+from jasmineramp.mesh.receive_limits import ReceiveBudget
 from jasmineramp.mesh.store_revisions import make_revision
 
 
@@ -30,8 +31,10 @@
         clock: Clock,
         *,
         evacuations: EvacuationControl,
+        budget: ReceiveBudget,
     ) -> None:
         self.node = node
+        self.budget = budget
         self.evacuations = evacuations
         self.entry = entry
         self.routes = entry.routes
@@ -50,10 +53,12 @@
         now = asyncio.get_running_loop().time()
         for link in self.links.values():
             link.check_liveness(now)
+            link.settle()
             if link.has_failed():
                 link.start_connecting()
         for retired in list(self.retired_links):
             retired.check_liveness(now)
+            retired.settle()
             if not retired.is_in_use():
                 retired.close()
                 self.retired_links.remove(retired)
@@ -125,6 +130,7 @@
             self._on_peer_change,
             departed_at=self.directory.departed_at,
             evacuations=self.evacuations.known,
+            budget=self.budget,
         )
 
     def _retire_link(self, node: NodeId) -> int:
--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -158,6 +158,7 @@
             log,
             clock,
             evacuations=self.evacuations,
+            budget=self.receive_budget,
         )
         self.directory_watch = DirectoryWatch(
             store, self.fleet.directory, self.fleet.apply_entries, log, clock
@@ -403,6 +404,8 @@
         self.local_upstream.report_coldness()
         self.gate.pressure.adapt()
         self.fleet.check_links()
+        for session in self.sessions:
+            session.settle()
         self.ticks += 1
         if self.ticks % TICKS_PER_LOG_FLUSH == 0:
             self.log.flush()
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -63,6 +63,10 @@
         return SendOutcome(
             not_run_failure(RefusalCode.upstream_lost, 'node unreachable')
         )
+    if link.is_congested():
+        return SendOutcome(
+            not_run_failure(RefusalCode.upstream_lost, 'link is congested')
+        )
     try:
         stream, future = link.send_request(
             lambda number: RunRequest(number, call)
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -21,6 +21,11 @@
     decode_frame,
 )
 from jasmineramp.mesh.peer_protocol import FrameProtocol
+from jasmineramp.mesh.receive_limits import (
+    DEFAULT_MEMORY_BYTES,
+    ReceiveBudget,
+    limits_for,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 # A peer in another failure domain answers a ping within a few milliseconds.
@@ -41,12 +46,13 @@
     """Read the replies on the connection of a peer link."""
 
     def __init__(self, link: 'PeerLink') -> None:
-        super().__init__()
+        super().__init__(link.budget)
         self.frames = FrameBuffer()
         self.link = link
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the requests whose replies are pending."""
+        super().connection_lost(exc)
         self.is_open = False
         self.link.on_connection_lost(self)
 
@@ -86,6 +92,7 @@
         *,
         departed_at: Callable[[NodeId], tuple[Departed, ...]] = _know_none,
         evacuations: Callable[[], EvacuationView | None] = _know_no_evacuations,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self.local_node = local_node
         self.peer = peer
@@ -94,6 +101,9 @@
         self.on_change = on_change
         self.departed_at = departed_at
         self.evacuations = evacuations
+        self.budget = budget or ReceiveBudget(
+            limits_for(DEFAULT_MEMORY_BYTES).total_bytes
+        )
         self.connection: _LinkConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
         # One for each request that waits for the connection.
@@ -111,6 +121,15 @@
         """Return whether the link is down after a loss or failed connect."""
         return not self.is_up() and self.failed_at > float('-inf')
 
+    def is_congested(self) -> bool:
+        """Return whether too much waits to be sent for further calls."""
+        return self.connection is not None and self.connection.is_congested()
+
+    def settle(self) -> None:
+        """Count what has been sent since."""
+        if self.connection is not None:
+            self.connection.settle()
+
     def is_in_use(self) -> bool:
         """Return whether requests wait for replies or for the connection."""
         return bool(self.pending_replies or self.waiters)
--- a/src/jasmineramp/mesh/peer_protocol.py
+++ b/src/jasmineramp/mesh/peer_protocol.py
@@ -5,22 +5,25 @@
 
 import msgspec
 
+from jasmineramp.mesh.budgeted_protocol import BudgetedProtocol
 from jasmineramp.mesh.peer_messages import PeerFrame, encode_frame
+from jasmineramp.mesh.receive_limits import ReceiveBudget
 
 TCP_USER_TIMEOUT_MS = 1_500
 
 
-class FrameProtocol(asyncio.Protocol):
+class FrameProtocol(BudgetedProtocol):
     """Read and write frames on one connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ReceiveBudget) -> None:
+        super().__init__(budget)
         self.is_open = False
         self.loop = asyncio.get_running_loop()
         self.last_received = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
-        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
+        super().connection_made(transport)
         self.is_open = True
         _set_tcp_options(self.transport)
 
@@ -37,6 +40,7 @@
         """Send a frame; drop it if the connection is closed."""
         if self.is_open:
             self.transport.write(encode_frame(frame))
+            self.settle()
 
     def has_unsent_bytes(self) -> bool:
         """Return whether a frame is still in the write buffer."""
--- a/src/jasmineramp/mesh/peer_service.py
+++ b/src/jasmineramp/mesh/peer_service.py
@@ -4,6 +4,7 @@
 
 from jasmineramp.mesh.caller_admission import CallerAdmission
 from jasmineramp.mesh.calls import (
+    Answer,
     CallResult,
     not_run_failure,
     run_unknown_failure,
@@ -23,7 +24,11 @@
 )
 from jasmineramp.mesh.peer_sessions import PeerSession
 from jasmineramp.mesh.quota_taker import FleetQuotaClient
-from jasmineramp.mesh.receive_limits import ReceiveBudget, Reservation
+from jasmineramp.mesh.receive_limits import (
+    SMALL_BODY_BYTES,
+    ReceiveBudget,
+    Reservation,
+)
 from jasmineramp.mesh.relay import Relay
 from jasmineramp.refusals import RefusalCode
 
@@ -65,6 +70,11 @@
         memory: Reservation | None = None,
     ) -> None:
         """Run a call at the upstream of this VM, then release its memory."""
+        if session.is_congested():
+            self._refuse_for_congestion(session, frame.stream)
+            if memory is not None:
+                memory.release()
+            return
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._run_for_peer(session, frame))
         if memory is not None:
@@ -117,8 +127,36 @@
                 RefusalCode.internal_error, 'internal error in the node'
             )
         session.streams.pop(frame.stream, None)
+        if not self._may_send(session, result):
+            self.log.write(
+                'answer_dropped',
+                request=frame.call.request_id,
+                unsent_bytes=session.unsent.size,
+            )
+            result = run_unknown_failure(
+                RefusalCode.overloaded, 'too much waits for the link'
+            )
         self._reply(session, frame.stream, result)
 
+    def _may_send(self, session: PeerSession, result: CallResult) -> bool:
+        """Return whether a result may wait for the link, also for long."""
+        size = len(result.body) if isinstance(result, Answer) else 0
+        return (
+            size <= SMALL_BODY_BYTES
+            or self.budget.has_room(size)
+            or not session.is_congested()
+        )
+
+    def _refuse_for_congestion(self, session: PeerSession, stream: int) -> None:
+        """Refuse a call whose answer would wait behind many others."""
+        self._reply(
+            session,
+            stream,
+            not_run_failure(
+                RefusalCode.upstream_lost, 'too much waits for the link'
+            ),
+        )
+
     def _reply(
         self, session: PeerSession, stream: int, result: CallResult
     ) -> None:
--- a/src/jasmineramp/mesh/peer_sessions.py
+++ b/src/jasmineramp/mesh/peer_sessions.py
@@ -59,7 +59,7 @@
         sessions: 'set[PeerSession]',
         budget: ReceiveBudget,
     ) -> None:
-        super().__init__()
+        super().__init__(budget)
         self.frames = BudgetedFrameBuffer(budget)
         self.handler = handler
         self.sessions = sessions
@@ -68,6 +68,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the peer."""
+        super().connection_lost(exc)
         self.is_open = False
         self.frames.close()
         self.sessions.discard(self)
