Count answers from other nodes before they reach their callers

Slow readers of long answers took the node that they call over its memory: what arrived from other nodes was in no budget until the caller's connection wrote it.

A link now reserves memory for each long answer and hands it over to the caller's connection. Beyond 1.5 budgets such an answer is dropped while it arrives; the call may have run and isn't sent again, since the next answer would find no memory either. Tables and directories are never dropped.

test_dropped_answer_is_not_asked_for_again and ReplyBudgetTest are new.

--- a/src/jasmineramp/mesh/entry.py
+++ b/src/jasmineramp/mesh/entry.py
@@ -183,7 +183,7 @@
             return result
         admitted.failed_attempts += 1
         admitted.first_result = admitted.first_result or result
-        if not self._may_retry(admitted):
+        if _was_dropped(result) or not self._may_retry(admitted):
             return admitted.first_result
         return None
 
@@ -325,6 +325,15 @@
         )
 
 
+def _was_dropped(result: CallResult) -> bool:
+    """Return whether the call has run but its answer found no memory."""
+    return (
+        isinstance(result, Failure)
+        and result.run is RunState.unknown
+        and result.code is RefusalCode.overloaded
+    )
+
+
 def _objective_of(route: RouteRow) -> Objective | None:
     if not route.objective_ms:
         return None
--- a/src/jasmineramp/mesh/frame_buffer.py
+++ b/src/jasmineramp/mesh/frame_buffer.py
@@ -1,5 +1,6 @@
 """Split the bytes of a connection between nodes into frames."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from jasmineramp.mesh.receive_limits import (
@@ -48,15 +49,28 @@
     is_dropped: bool = False
 
 
+def _may_drop_all(_head: bytes) -> bool:
+    return True
+
+
 class BudgetedFrameBuffer:
     """Split a stream into frames; drop large ones that find no memory.
 
     Reading goes on, because the connection also carries other calls and the
-    signs of life of the peer.
+    signs of life of the peer. `may_drop` tells from the start of a frame
+    whether it may be dropped; the other ones take memory beyond the budget.
     """
 
-    def __init__(self, budget: ReceiveBudget) -> None:
+    def __init__(
+        self,
+        budget: ReceiveBudget,
+        *,
+        max_use: float = 1,
+        may_drop: Callable[[bytes], bool] = _may_drop_all,
+    ) -> None:
         self.budget = budget
+        self.limit_bytes = int(budget.total_bytes * max_use)
+        self.may_drop = may_drop
         self.small_frames = FrameBuffer()
         self.large = bytearray()
         self.missing_bytes = 0
@@ -72,12 +86,12 @@
             buffered = self.small_frames.buffer
             received.extend(map(self._admit, self.small_frames.feed(data)))
             data = b''
-            if len(buffered) >= LENGTH_PREFIX_BYTES:
+            if len(buffered) >= LENGTH_PREFIX_BYTES + DROPPED_HEAD_BYTES:
                 size = int.from_bytes(buffered[:LENGTH_PREFIX_BYTES], 'big')
                 if size > SMALL_BODY_BYTES:
                     data = bytes(buffered[LENGTH_PREFIX_BYTES:])
                     buffered.clear()
-                    self._start_large(size)
+                    self._start_large(size, data)
         return received
 
     def close(self) -> None:
@@ -90,17 +104,27 @@
         """Return a frame that arrived as a whole."""
         if len(content) <= SMALL_BODY_BYTES:
             return ReceivedFrame(content)
-        reservation = Reservation(self.budget)
-        if reservation.try_resize(len(content)):
+        reservation = self._reserve(len(content), content)
+        if reservation is not None:
             return ReceivedFrame(content, reservation)
         return ReceivedFrame(content[:DROPPED_HEAD_BYTES], is_dropped=True)
 
-    def _start_large(self, size: int) -> None:
+    def _reserve(self, size: int, content: bytes) -> Reservation | None:
+        """Reserve memory for a frame; return None if it is to be dropped."""
+        budget = self.budget
+        if not budget.has_room(size):
+            budget.reclaim(size)
+        has_room = budget.used_bytes + size <= self.limit_bytes
+        if not has_room and self.may_drop(content[:DROPPED_HEAD_BYTES]):
+            return None
+        reservation = Reservation(budget)
+        reservation.resize(size)
+        return reservation
+
+    def _start_large(self, size: int, start: bytes) -> None:
         self.missing_bytes = size
         self.large = bytearray()
-        reservation = Reservation(self.budget)
-        is_reserved = reservation.try_resize(size)
-        self.reservation = reservation if is_reserved else None
+        self.reservation = self._reserve(size, start)
 
     def _feed_large(self, data: bytes, received: list[ReceivedFrame]) -> bytes:
         """Take the bytes of the large frame; return those behind it."""
--- a/src/jasmineramp/mesh/peer_calls.py
+++ b/src/jasmineramp/mesh/peer_calls.py
@@ -14,7 +14,11 @@
     not_run_failure,
     run_unknown_failure,
 )
-from jasmineramp.mesh.peer_links import LinkDownError, LinkLostError, PeerLink
+from jasmineramp.mesh.peer_links import (
+    LinkDownError,
+    NoReplyError,
+    PeerLink,
+)
 from jasmineramp.mesh.peer_messages import PeerFrame, RunReply, RunRequest
 from jasmineramp.mesh.waits import wait_with_timeout
 from jasmineramp.refusals import RefusalCode
@@ -33,7 +37,7 @@
         return None
     try:
         return await wait_with_timeout(timeout_s, future)
-    except (TimeoutError, LinkLostError):
+    except (TimeoutError, NoReplyError):
         link.discard_reply(stream)
         return None
     finally:
@@ -85,12 +89,8 @@
                 RefusalCode.deadline_exceeded, 'peer did not answer in time'
             )
         )
-    except LinkLostError:
-        return SendOutcome(
-            run_unknown_failure(
-                RefusalCode.upstream_lost, 'link to the peer was lost'
-            )
-        )
+    except NoReplyError as error:
+        return SendOutcome(run_unknown_failure(error.code, error.detail))
     except asyncio.CancelledError:
         link.cancel(stream)
         raise
--- a/src/jasmineramp/mesh/peer_links.py
+++ b/src/jasmineramp/mesh/peer_links.py
@@ -7,7 +7,7 @@
 from jasmineramp.ids import NodeId
 from jasmineramp.mesh.departures import Departed
 from jasmineramp.mesh.evacuations import EvacuationView
-from jasmineramp.mesh.frame_buffer import FrameBuffer
+from jasmineramp.mesh.frame_buffer import BudgetedFrameBuffer
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -19,24 +19,46 @@
     StateChanged,
     UpdateReply,
     decode_frame,
+    is_run_reply,
+    read_reply_stream,
 )
 from jasmineramp.mesh.peer_protocol import FrameProtocol
 from jasmineramp.mesh.receive_limits import (
     DEFAULT_MEMORY_BYTES,
     ReceiveBudget,
+    Reservation,
     limits_for,
 )
+from jasmineramp.refusals import RefusalCode
 
 CONNECT_TIMEOUT_S = 0.5
 # A peer in another failure domain answers a ping within a few milliseconds.
 PING_INTERVAL_S = 0.25
 SILENCE_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.25
+# Of the budget: a reply has run, so it may exceed what requests may take.
+MAX_REPLY_USE = 1.5
 
 
-class LinkLostError(Exception):
+class NoReplyError(Exception):
+    """Report that a request was sent but its reply will not come."""
+
+    code = RefusalCode.upstream_lost
+    detail = ''
+
+
+class LinkLostError(NoReplyError):
     """Report that the connection was lost while a reply was pending."""
 
+    detail = 'link to the peer was lost'
+
+
+class ReplyDroppedError(NoReplyError):
+    """Report that too little memory was left for a reply."""
+
+    code = RefusalCode.overloaded
+    detail = 'too little memory for the answer'
+
 
 class LinkDownError(Exception):
     """Report that a frame was not sent because the link is not connected."""
@@ -47,18 +69,33 @@
 
     def __init__(self, link: 'PeerLink') -> None:
         super().__init__(link.budget)
-        self.frames = FrameBuffer()
+        self.frames = BudgetedFrameBuffer(
+            link.budget, max_use=MAX_REPLY_USE, may_drop=is_run_reply
+        )
         self.link = link
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the requests whose replies are pending."""
         super().connection_lost(exc)
+        self.frames.close()
         self.is_open = False
         self.link.on_connection_lost(self)
 
     def receive(self, data: bytes) -> None:
         """Handle the frames that are complete."""
-        for content in self.frames.feed(data):
+        for received in self.frames.feed(data):
+            if received.is_dropped:
+                stream = read_reply_stream(received.content)
+                self.link.fail_reply(stream, ReplyDroppedError(self.link.peer))
+            elif received.reservation is None:
+                self.handle(decode_frame(received.content))
+            else:
+                self._receive_large(received.content, received.reservation)
+
+    def _receive_large(self, content: bytes, memory: Reservation) -> None:
+        with contextlib.ExitStack() as stack:
+            # By then the connection of the caller has counted the answer.
+            stack.callback(self.loop.call_soon, memory.release)
             self.handle(decode_frame(content))
 
     def handle(self, frame: PeerFrame) -> None:
@@ -198,6 +235,12 @@
         if future is not None and not future.done():
             future.set_result(frame)
 
+    def fail_reply(self, stream: int, error: Exception) -> None:
+        """Fail the request of a stream."""
+        future = self.pending_replies.pop(stream, None)
+        if future is not None and not future.done():
+            future.set_exception(error)
+
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer; abort the connection at the silence timeout."""
         connection = self.connection
--- a/src/jasmineramp/mesh/peer_messages.py
+++ b/src/jasmineramp/mesh/peer_messages.py
@@ -18,6 +18,8 @@
 PROTOCOL_VERSION = 1
 # MessagePack: an array of three, whose first is the tag of RunRequest.
 _RUN_REQUEST_HEAD = b'\x93\x02'
+# Releases differ in the number of fields of a RunReply.
+_RUN_REPLY_HEADS = tuple(bytes((0x90 | length, 3)) for length in range(4, 16))
 _MAX_FIXINT = 0x7F
 _INTEGER_WIDTHS = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
 
@@ -190,6 +192,11 @@
     return _decoder.decode(body)
 
 
+def is_run_reply(head: bytes) -> bool:
+    """Return whether the start of an encoded frame is that of a RunReply."""
+    return head[:2] in _RUN_REPLY_HEADS
+
+
 def read_call_stream(head: bytes) -> int:
     """Return the stream of a RunRequest from the start of its encoding.
 
@@ -197,6 +204,20 @@
     """
     if head[:2] != _RUN_REQUEST_HEAD:
         raise ValueError('frame is not a call')
+    return _read_stream(head)
+
+
+def read_reply_stream(head: bytes) -> int:
+    """Return the stream of a RunReply from the start of its encoding.
+
+    Raise ValueError for another frame.
+    """
+    if not is_run_reply(head):
+        raise ValueError('frame is not the reply to a call')
+    return _read_stream(head)
+
+
+def _read_stream(head: bytes) -> int:
     first = head[2]
     if first <= _MAX_FIXINT:
         return first
--- a/tests/mesh/test_entry.py
+++ b/tests/mesh/test_entry.py
@@ -60,3 +60,39 @@
         self.assertEqual(fields[0]['reported_use'], 1)
         self.released.set()
         self.assertEqual((await running)[0], 200)
+
+
+class DroppedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Test three nodes; the first has no instance and little memory left."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        await self.fleet.start(3)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.announce(0, 'draining')
+        node = self.fleet.nodes[0]
+        name = node.settings.node
+        await self.fleet.until(lambda: not node.routes.targets[name].is_ready())
+        self.budget = node.receive_budget
+        for upstream in self.fleet.upstreams:
+            upstream.behave = self.answer
+
+    async def answer(self, _request: CallerRequest) -> CallerResponse:
+        """Answer with two fifths of the budget."""
+        return CallerResponse(
+            200, [], b'x' * (self.budget.total_bytes * 2 // 5)
+        )
+
+    def ran(self, request_id: str) -> int:
+        """Return how often a call ran."""
+        return sum(each.ran[request_id] for each in self.fleet.upstreams)
+
+    # Guards against answers that find no memory and are then made once more.
+    async def test_dropped_answer_is_not_asked_for_again(self) -> None:
+        self.budget.used_bytes = self.budget.total_bytes * 6 // 5
+        status, _, _ = await self.fleet.call(0, '/read/1', 'id-1')
+        self.assertEqual((status, self.ran('id-1')), (502, 1))
+        self.budget.used_bytes = 0
+        status, _, body = await self.fleet.call(0, '/read/1', 'id-2')
+        self.assertEqual((status, self.ran('id-2')), (200, 1))
+        self.assertEqual(len(body), self.budget.total_bytes * 2 // 5)
--- a/tests/mesh/test_frame_buffer.py
+++ b/tests/mesh/test_frame_buffer.py
@@ -10,6 +10,7 @@
     MAX_FRAME_BYTES,
     BudgetedFrameBuffer,
     FrameBuffer,
+    ReceivedFrame,
 )
 from jasmineramp.mesh.peer_messages import (
     Ping,
@@ -115,3 +116,45 @@
         self.assertEqual(self.budget.used_bytes, LARGE_BYTES)
         self.buffer.close()
         self.assertEqual(self.budget.used_bytes, 0)
+
+
+class ReplyBudgetTest(unittest.TestCase):
+    """Test frames of which only some may be dropped, whatever they take."""
+
+    def setUp(self) -> None:
+        self.budget = ReceiveBudget(2 * LARGE_BYTES)
+        self.buffer = BudgetedFrameBuffer(
+            self.budget,
+            max_use=1.5,
+            may_drop=lambda head: head.startswith(b'may'),
+        )
+
+    def feed(self, kind: bytes, read_bytes: int) -> ReceivedFrame:
+        """Receive a large frame of a kind, so many bytes at a time."""
+        content = kind + b'x' * (LARGE_BYTES - len(kind))
+        data = len(content).to_bytes(4, 'big') + content
+        received = []
+        for start in range(0, len(data), read_bytes):
+            received += self.buffer.feed(data[start : start + read_bytes])
+        (frame,) = received
+        return frame
+
+    # Guards against answers of other nodes that are in no budget.
+    def test_frames_beyond_the_budget_are_dropped(self) -> None:
+        for read_bytes in (1009, 10 * LARGE_BYTES):
+            with self.subTest(read_bytes):
+                frames = [self.feed(b'may', read_bytes) for _ in range(4)]
+                self.assertEqual(
+                    [each.is_dropped for each in frames],
+                    [False, False, False, True],
+                )
+                for each in frames:
+                    if each.reservation is not None:
+                        each.reservation.release()
+                self.assertEqual(self.budget.used_bytes, 0)
+
+    # Guards against a table that a node never gets while its memory is full.
+    def test_other_frames_arrive_beyond_the_budget(self) -> None:
+        self.budget.try_reserve(2 * LARGE_BYTES)
+        for read_bytes in (1009, 10 * LARGE_BYTES):
+            self.assertFalse(self.feed(b'table', read_bytes).is_dropped)
--- a/tests/mesh/test_peer_messages.py
+++ b/tests/mesh/test_peer_messages.py
@@ -5,15 +5,19 @@
 import msgspec
 
 from jasmineramp.ids import RowName, ServiceName, WorkspaceId
-from jasmineramp.mesh.calls import UpstreamCall
+from jasmineramp.load_reports import LoadReport
+from jasmineramp.mesh.calls import Answer, UpstreamCall
 from jasmineramp.mesh.frame_buffer import LENGTH_PREFIX_BYTES
 from jasmineramp.mesh.peer_messages import (
+    RunReply,
     RunRequest,
     UpdateReply,
     UpdateRequest,
     decode_frame,
     encode_frame,
+    is_run_reply,
     read_call_stream,
+    read_reply_stream,
 )
 
 
@@ -74,3 +78,22 @@
         for frame in ([3, 1, []], [2, 'x', []], [2, 1], []):
             with self.assertRaises(ValueError):
                 read_call_stream(msgspec.msgpack.encode(frame))
+
+
+class ReplyStreamTest(unittest.TestCase):
+    """Test the start of a reply whose rest is dropped."""
+
+    def test_stream_is_read_from_the_start_of_a_reply(self) -> None:
+        for stream in (0, 127, 128, 255, 256, 1 << 16, 1 << 32, (1 << 63) - 1):
+            answer = Answer(200, b'OK', [], b'x' * 99)
+            frame = encode_frame(RunReply(stream, answer, LoadReport()))
+            head = frame[LENGTH_PREFIX_BYTES:][:16]
+            self.assertTrue(is_run_reply(head))
+            self.assertEqual(read_reply_stream(head), stream)
+
+    def test_other_frames_are_no_reply(self) -> None:
+        for frame in ([2, 1, []], [8, 1, None, None], [3, 1], [3], []):
+            head = msgspec.msgpack.encode(frame)
+            self.assertFalse(is_run_reply(head))
+            with self.assertRaises(ValueError):
+                read_reply_stream(head)
