Write an entry again that changed back during its write

Ordinary callers got 503 (no_upstream) for good after a burst of requests: the instance refused some connections, was lost, and announced itself 0.1 s later, while the entry that says so was still being written. The change back was compared with the entry before that write and found equal, so the store kept the instance as lost, and no other node called it any more.

A write that is confirmed is now compared with the present entry, and followed by another one if needed.

test_change_that_is_undone_while_it_is_written failed before.

--- a/src/jasmineramp/mesh/registration.py
+++ b/src/jasmineramp/mesh/registration.py
@@ -226,7 +226,7 @@
             self.revision = reply.revision
             if len(writes) > 1:
                 self.stored_departures = frozenset(facts)
-            self._record_write(entry)
+            self._confirm_write(entry)
             self.log.write(
                 'registered',
                 version=version,
@@ -253,7 +253,7 @@
         self._note_entry(own.entry)
         self._note_departures(own.departures)
         if self._is_intact(own.entry, entry):
-            self._record_write(entry)
+            self._confirm_write(entry)
 
     async def _read_own(self) -> _OwnItems | None:
         """Read the items of this node, None if the store has not told."""
@@ -346,6 +346,19 @@
         """Return whether the store lacks a departure that this node knows."""
         return not self.stored_departures.issuperset(self.departures.facts())
 
+    def _confirm_write(self, entry: MemberEntry) -> None:
+        """Record a write, and schedule the next if it is out of date.
+
+        A change that was undone during the write left no trace: it was compared
+        with the entry before.
+        """
+        if entry.version == self.version and entry != self.make_entry(
+            entry.version
+        ):
+            self.version += 1
+            self.changed.set()
+        self._record_write(entry)
+
     def _record_write(self, entry: MemberEntry) -> None:
         self.written = entry
         if self._is_written():
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from bench.metadata_store import MetadataStore
 
@@ -17,7 +18,7 @@
     RENEW_INTERVAL_MS,
     Registration,
 )
-from jasmineramp.mesh.store import StoreOutcome
+from jasmineramp.mesh.store import StoreOutcome, StoreReply, StoreWrite
 from jasmineramp.platform.store_client import StoreClient
 
 HOST = '127.0.0.1'
@@ -99,6 +100,30 @@
             registration.valid_until, self.clock.now() + LEASE_TTL_MS
         )
 
+    # Guards against an instance that is ready but in the store as lost: no
+    # other node calls it any more.
+    async def test_change_that_is_undone_while_it_is_written(self) -> None:
+        registration = self.start()
+        await self.run_steps(registration, 2)
+        self.state = UpstreamState.starting
+        registration.mark_changed()
+        put = registration.store.put
+
+        async def put_late(*writes: StoreWrite) -> StoreReply:
+            reply = await put(*writes)
+            self.state = UpstreamState.ready
+            registration.mark_changed()
+            return reply
+
+        with mock.patch.object(registration.store, 'put', put_late):
+            await self.run_steps(registration, 1)
+        self.assertFalse(registration.stored.is_set())
+        self.assertTrue(registration.changed.is_set())
+        await self.run_steps(registration, 1)
+        assert registration.written is not None
+        self.assertIs(registration.written.state, UpstreamState.ready)
+        self.assertTrue(registration.stored.is_set())
+
     # Guards against an owner of rates that stops to grant when the store
     # refuses it, long before another node takes over: its callers got a
     # fraction of their rate. Nor may it go on when another may have.
