Let one slow request no longer protect unread responses

A connection with unsent responses now counts as a transfer, whatever else runs for it, and goes when it stands still and memory is short. One whose later responses wait for a running request goes only above 1.25 budgets. A request that runs alone stays protected.

--- a/src/jasmineramp/mesh/caller_connection.py
+++ b/src/jasmineramp/mesh/caller_connection.py
@@ -7,7 +7,12 @@
 from jasmineramp.clock import MILLIS_PER_SECOND
 from jasmineramp.mesh.caller_causes import Cause
 from jasmineramp.mesh.caller_flow import CallerFlow
-from jasmineramp.mesh.caller_memory import MIN_MOVED_BYTES, Activity, Holding
+from jasmineramp.mesh.caller_memory import (
+    MIN_MOVED_BYTES,
+    SMALL_HOLDING_BYTES,
+    Activity,
+    Holding,
+)
 from jasmineramp.mesh.caller_messages import (
     CONTINUE,
     CallerResponse,
@@ -140,9 +145,14 @@
     def describe(self, key: int, now: float) -> Holding:
         """Return what the connection holds and for how long it has stalled."""
         self.settle()
-        if self.tasks:
+        if self.unsent_bytes:
+            # Its caller does not read, whatever else runs for it.
+            activity = Activity.transfer
+        elif self.tasks:
             activity = Activity.running
-        elif self.unsent_bytes or self.is_busy() or self.is_reading_request():
+            if self.pipeline.held_bytes > SMALL_HOLDING_BYTES:
+                activity = Activity.blocking
+        elif self.is_busy() or self.is_reading_request():
             activity = Activity.transfer
         elif self.is_ending or not self.reader.begun_count:
             activity = Activity.unused
--- a/src/jasmineramp/mesh/caller_memory.py
+++ b/src/jasmineramp/mesh/caller_memory.py
@@ -41,9 +41,13 @@
     transfer = 'transfer'
     # A request was passed on, so its response must be delivered.
     running = 'running'
+    # The same, and responses to later requests wait for this one.
+    blocking = 'blocking'
 
 
 _CAN_STALL = frozenset((Activity.unused, Activity.transfer))
+# From this use of the budget on, responses that wait for earlier ones go too.
+_BLOCKING_USE = 1.25
 
 
 class Holding(msgspec.Struct, frozen=True, gc=False):
@@ -84,15 +88,19 @@
     """Return the keys of the connections to cut off, the first one first.
 
     Those that hold the most for the longest without progress go first. One
-    that makes progress or whose request was passed on never goes.
+    that makes progress never goes, nor does one whose request was passed on,
+    unless its caller has sent others ahead whose responses fill the memory.
     """
     stall_ms = least_stall_ms(use)
+    protected = {Activity.running}
+    if use <= _BLOCKING_USE:
+        protected.add(Activity.blocking)
     stalled = [
         each
         for each in holdings
         if each.held_bytes
         and each.stalled_ms >= stall_ms
-        and each.activity is not Activity.running
+        and each.activity not in protected
     ]
     stalled.sort(
         key=lambda each: each.held_bytes * each.stalled_ms, reverse=True
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -54,6 +54,12 @@
         self.assertEqual(choose_for_memory(recent, 1, 1), [])
         self.assertEqual(choose_for_memory(recent, 1, 1.4), [1])
 
+    # Guards against one slow request that protects all responses behind it.
+    def test_responses_behind_a_running_request_go_last(self) -> None:
+        waiting = [holding(1, 1000, LONG_MS, Activity.blocking)]
+        self.assertEqual(choose_for_memory(waiting, 1, 1.25), [])
+        self.assertEqual(choose_for_memory(waiting, 1, 1.3), [1])
+
     @given(
         st.lists(
             st.tuples(
