Return large freed blocks to the system

A process kept memory that it no longer used: the C library moves its threshold up to the largest block that was freed, and keeps blocks below it between others that are in use.

The process now fixes the threshold at 512 KiB when it starts; one read from a socket returns less, so ordinary messages do not pay for it.

test_freed_blocks_are_returned compares two processes that free nine of ten blocks; without the call most of them stay resident.

--- a/src/jasmineramp/platform/__main__.py
+++ b/src/jasmineramp/platform/__main__.py
@@ -15,6 +15,7 @@
 from jasmineramp.mesh.decision_log import DecisionLog
 from jasmineramp.mesh.node import Node
 from jasmineramp.mesh.node_settings import NodeSettings
+from jasmineramp.mesh.process_memory import return_large_blocks
 from jasmineramp.platform.binding import PlatformBinding
 from jasmineramp.platform.settings import PATH_VARIABLE, load_settings
 from jasmineramp.platform.store_client import StoreClient
@@ -94,6 +95,7 @@
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return error.exit_code
+    return_large_blocks()
     uvloop.run(_serve(settings, path))
     return 0
 
