Limit connections that do not say which node they come from

350 connections to the address for other nodes took all 300 descriptors of a process, and callers could not connect: nothing limits their number or age.

A connection from another node counts as new until its first frame, a Hello, arrives. Other nodes send the Hello with the connection.

--- a/src/jasmineramp/mesh/node.py
+++ b/src/jasmineramp/mesh/node.py
@@ -27,6 +27,7 @@
 from jasmineramp.mesh.freshness import Freshness
 from jasmineramp.mesh.graceful_stop import GracefulStop
 from jasmineramp.mesh.instance_gate import InstanceGate
+from jasmineramp.mesh.new_sessions import NewSessions
 from jasmineramp.mesh.node_metrics import (
     Gauges,
     NodeMetrics,
@@ -211,7 +212,10 @@
         await self.caller_server.listen(*self.settings.outbound)
         self.peer_server = await loop.create_server(
             lambda: PeerSession(
-                self.peer_service, self.sessions, self.receive_budget
+                self.peer_service,
+                self.sessions,
+                self.receive_budget,
+                self.new_sessions,
             ),
             *self.settings.inbound,
             reuse_address=True,
@@ -290,6 +294,8 @@
         connection_limits = connection_limits_for(
             find_max_descriptors(self.settings.max_descriptors)
         )
+        self.new_sessions = NewSessions(connection_limits.new_sessions)
+        self.new_sessions.counts = self.metrics.cut_connections
         self.gate.pool.closing.counts = self.metrics.cut_connections
         causes = CauseCounts(self.metrics.cut_callers, self.log.write)
         self.caller_server = CallerServer(
@@ -412,6 +418,7 @@
         if self.ticks % TICKS_PER_EXPIRY:
             return
         self.gate.pool.expire()
+        self.new_sessions.expire()
         self.fleet.expire()
         loop_time = asyncio.get_running_loop().time()
         for server in self._servers():
--- a/src/jasmineramp/mesh/peer_sessions.py
+++ b/src/jasmineramp/mesh/peer_sessions.py
@@ -1,9 +1,11 @@
 """Serve the requests of the nodes that have connected to this one."""
 
+import asyncio
 import contextlib
 from typing import Protocol
 
 from jasmineramp.mesh.frame_buffer import BudgetedFrameBuffer
+from jasmineramp.mesh.new_sessions import NewSessions
 from jasmineramp.mesh.peer_messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -58,19 +60,28 @@
         handler: PeerRequestHandler,
         sessions: 'set[PeerSession]',
         budget: ReceiveBudget,
+        new_sessions: NewSessions,
     ) -> None:
         super().__init__(budget)
         self.frames = BudgetedFrameBuffer(budget)
         self.handler = handler
         self.sessions = sessions
         self.streams: dict[int, object] = {}
+        self.new_sessions = new_sessions
+        self.is_greeted = False
         sessions.add(self)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport until the first frame arrives."""
+        super().connection_made(transport)
+        self.new_sessions.add(self.transport)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the peer."""
         super().connection_lost(exc)
         self.is_open = False
         self.frames.close()
+        self.new_sessions.discard(self.transport)
         self.sessions.discard(self)
         for stream in list(self.streams):
             self.handler.cancel_for_peer(self, stream)
@@ -85,6 +96,8 @@
                 self.handle(decode_frame(received.content))
             else:
                 self._receive_large(received.content, received.reservation)
+        if self.frames.missing_bytes and not self.is_greeted:
+            raise ValueError('the first frame is too large')
 
     def _receive_large(self, content: bytes, memory: Reservation) -> None:
         with contextlib.ExitStack() as stack:
@@ -103,6 +116,8 @@
                 # The peer marks this node unreachable and calls other nodes.
                 self.transport.abort()
             case Hello():
+                self.is_greeted = True
+                self.new_sessions.discard(self.transport)
                 self.handler.greet_peer(self, frame)
             case RunRequest():
                 self.handler.run_for_peer(self, frame)
--- a/src/jasmineramp/mesh/receive_limits.py
+++ b/src/jasmineramp/mesh/receive_limits.py
@@ -39,6 +39,8 @@
 MIN_RESERVED_DESCRIPTORS = 64
 # Of the reserved ones, for each internal address.
 INTERNAL_DESCRIPTOR_FRACTION = 1 / 8
+# Of the reserved ones, for connections that may come from other nodes.
+NEW_SESSION_FRACTION = 1 / 2
 
 
 class Bound(enum.Enum):
@@ -80,10 +82,14 @@
 
 
 class ConnectionLimits(msgspec.Struct, frozen=True):
-    """Hold the numbers of connections to the address for callers and others."""
+    """Hold the numbers of connections to the address for callers and others.
+
+    `new_sessions` limits those of other nodes before their first frame.
+    """
 
     callers: int
     internal: int
+    new_sessions: int
 
 
 def find_max_descriptors(configured: int) -> int:
@@ -103,6 +109,7 @@
     return ConnectionLimits(
         max(1, max_descriptors - reserved),
         int(reserved * INTERNAL_DESCRIPTOR_FRACTION),
+        int(reserved * NEW_SESSION_FRACTION),
     )
 
 
