Keep long request ids of a connection as digests

Each connection to the instance remembers the ids of its latest 64 calls. Ids of 15 KB are within the limit on heads, so 60 connections kept over 50 MB that no budget counts.

Ids of more than 64 characters are remembered as digests of 16 bytes.

--- a/src/jasmineramp/mesh/upstream_connection.py
+++ b/src/jasmineramp/mesh/upstream_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import hashlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -29,6 +30,8 @@
 MAX_IDLE_MS = 4_000.0
 # A call is sent again within seconds, while its connection carries fewer.
 MAX_CARRIED_IDS = 64
+# Longer ids are kept as digests, since callers choose them.
+MAX_PLAIN_ID_LENGTH = 64
 _CONTENT_LENGTH = b'content-length'
 _FRAMING_HEADERS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -119,7 +122,7 @@
         """Send a call; return the future of its answer or exception."""
         loop = asyncio.get_running_loop()
         self.exchange = Exchange(request_id, head_only, loop.create_future())
-        self.carried[request_id] = None
+        self.carried[_shorten(request_id)] = None
         if len(self.carried) > MAX_CARRIED_IDS:
             del self.carried[next(iter(self.carried))]
         self._reset()
@@ -127,6 +130,10 @@
         self.transport.write(data)
         return self.exchange.future
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether one of the latest calls had this id."""
+        return _shorten(request_id) in self.carried
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection on unsolicited bytes."""
         if self.exchange is None:
@@ -324,6 +331,13 @@
             exchange.future.set_exception(error)
 
 
+def _shorten(request_id: str) -> str:
+    """Return an id itself, or the digest of a long one."""
+    if len(request_id) <= MAX_PLAIN_ID_LENGTH:
+        return request_id
+    return hashlib.blake2b(request_id.encode(), digest_size=16).hexdigest()
+
+
 @functools.lru_cache(maxsize=64)
 def _keep_alive_ms(value: bytes) -> float:
     """Return half the Keep-Alive timeout, as a margin, or the default."""
--- a/src/jasmineramp/mesh/upstream_pool.py
+++ b/src/jasmineramp/mesh/upstream_pool.py
@@ -71,7 +71,7 @@
             idle_ms = (now - connection.idle_since) * MILLIS_PER_SECOND
             if idle_ms > min(limit_ms, connection.idle_limit_ms):
                 return None
-            if request_id in connection.carried:
+            if connection.has_carried(request_id):
                 position -= 1
                 continue
             del self.idle[position]
--- a/tests/mesh/test_upstream_http.py
+++ b/tests/mesh/test_upstream_http.py
@@ -59,6 +59,17 @@
         status, _, _ = await self.fleet.call(0, '/buy/1', request_id)
         return status
 
+    # Guards against ids of callers that fill the memory of idle connections.
+    async def test_long_ids_are_told_apart_but_not_kept(self) -> None:
+        ids = ['x' * 10_000 + str(number) for number in range(3)]
+        for request_id in ids:
+            await self.fleet.call(0, '/read/1', request_id)
+        (connection,) = self.fleet.nodes[0].gate.pool.idle
+        for request_id in ids:
+            self.assertTrue(connection.has_carried(request_id))
+        self.assertFalse(connection.has_carried('x' * 10_000))
+        self.assertLess(sum(map(len, connection.carried)), 1000)
+
     # Guards against a HEAD request that waits for a body until its deadline.
     async def test_answer_to_head_has_no_body(self) -> None:
         for number in range(2):
