Go on granting memory after a grant that failed

Since memory is reclaimed during a grant, the budget marks that it is granting. An exception in a grant left the mark set, and no response that waits for memory would have been read any more. An exit stack clears it now. The mark is set only while something waits, so releases without waiters do no more than before.

test_failed_grant_does_not_stop_later_ones fails without the exit stack.

--- a/src/jasmineramp/mesh/receive_limits.py
+++ b/src/jasmineramp/mesh/receive_limits.py
@@ -1,5 +1,6 @@
 """Bound the memory that messages take while they are received."""
 
+import contextlib
 import enum
 import resource
 from collections import deque
@@ -205,12 +206,15 @@
     def release(self, size: int) -> None:
         """Return bytes and grant waiting reservations in their order."""
         self.used_bytes -= size
-        if self.is_granting:
-            # A grant reclaims memory, which releases bytes.
-            return
-        self.is_granting = True
-        while self.waiting and self.waiting[0].try_grant():
-            self.waiting.popleft()
+        # A grant may reclaim memory, which releases bytes.
+        if self.waiting and not self.is_granting:
+            with contextlib.ExitStack() as stack:
+                stack.callback(self._stop_granting)
+                self.is_granting = True
+                while self.waiting and self.waiting[0].try_grant():
+                    self.waiting.popleft()
+
+    def _stop_granting(self) -> None:
         self.is_granting = False
 
 
--- a/tests/mesh/test_receive_limits.py
+++ b/tests/mesh/test_receive_limits.py
@@ -114,6 +114,17 @@
         second.release()
         self.assertEqual(self.granted, ['third'])
 
+    # Guards against responses that wait without end after one that failed.
+    def test_failed_grant_does_not_stop_later_ones(self) -> None:
+        first = self.reserve(100)
+        failing = Reservation(self.budget)
+        failing.wait(10, lambda: 1 // 0)
+        self.wait('second', 10)
+        with self.assertRaises(ZeroDivisionError):
+            first.try_resize(50)
+        first.release()
+        self.assertEqual(self.granted, ['second'])
+
     def test_limits_follow_the_memory(self) -> None:
         small = limits_for(64 * MEBIBYTE)
         self.assertEqual(small.body_bytes, 4 * MEBIBYTE)
